Lay the thin whole path: entry, dispatcher, coordinator, stand-ins

Cause: an empty repository; the other issues need interfaces to grow on. Change: kernel on dig, platform protocol with client and stand-in, backend server stand-in, HTTP exchange that says what was sent, gate of permits, rank queue, entry, admin address, both programs, example settings. Seen: quickstart answers /drafts/order-17 with 200 and a whole body of 200 bytes, the same owner twice, and ends on SIGTERM. Conclusion: the path stands; control is the thinnest form that elects by name.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,185 @@
+// Package admin serves operators on the admin address: health, readiness,
+// counters and the daemon's view of the fleet.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/buildinfo"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/directory"
+	"github.com/chicorylug/chicorylug/internal/journal"
+	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/settings"
+)
+
+// ServiceName is the admin service's name in the kernel.
+const ServiceName kernel.Name = "admin"
+
+// Paths of the admin address.
+const (
+	PathHealth = "/healthz"
+	PathReady  = "/readyz"
+	PathVars   = "/debug/vars"
+	PathFaults = "/debug/faults"
+	PathStatus = "/v1/status"
+)
+
+// ReadinessSource tells the state of the daemon's services.
+type ReadinessSource func() []kernel.Readiness
+
+// Admin serves the admin address.
+type Admin struct {
+	config    *config.Config
+	network   *netx.Network
+	directory *directory.Directory
+	metrics   *metrics.Registry
+	journal   *journal.Journal
+	readiness ReadinessSource
+	log       *zap.Logger
+	http      *fasthttp.Server
+}
+
+// New returns an admin service that is not yet started.
+func New(
+	c *config.Config,
+	network *netx.Network,
+	dir *directory.Directory,
+	registry *metrics.Registry,
+	j *journal.Journal,
+	readiness ReadinessSource,
+	log *zap.Logger,
+) *Admin {
+	return &Admin{
+		config:    c,
+		network:   network,
+		directory: dir,
+		metrics:   registry,
+		journal:   j,
+		readiness: readiness,
+		log:       log.Named(string(ServiceName)),
+	}
+}
+
+// Name implements kernel.Service.
+func (a *Admin) Name() kernel.Name { return ServiceName }
+
+// After implements kernel.Service.
+func (a *Admin) After() []kernel.Name { return nil }
+
+// Ready implements kernel.Service.
+func (a *Admin) Ready() error { return nil }
+
+// Start implements kernel.Service.
+func (a *Admin) Start(context.Context) error {
+	listener, err := net.Listen("tcp", a.config.AdminAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	a.config.AdminAddress = listener.Addr().String()
+	a.http = &fasthttp.Server{Handler: a.routes(), NoDefaultServerHeader: true, CloseOnShutdown: true}
+	go func() { _ = a.http.Serve(listener) }()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (a *Admin) Stop(ctx context.Context) error {
+	return errors.Wrap(a.http.ShutdownWithContext(ctx), "close the admin address")
+}
+
+func (a *Admin) routes() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET(PathHealth, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET(PathReady, a.ready)
+	r.GET(PathVars, a.vars)
+	r.GET(PathStatus, a.status)
+	if a.config.TestFaults {
+		r.PUT(PathFaults, a.faults)
+	}
+	return r.Handler
+}
+
+func (a *Admin) ready(ctx *fasthttp.RequestCtx) {
+	states := a.readiness()
+	for _, state := range states {
+		if !state.Ready {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+	writeJSON(ctx, states)
+}
+
+func (a *Admin) vars(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	ctx.SetBody(a.metrics.JSON())
+}
+
+// Status is a daemon's view of itself and the fleet.
+type Status struct {
+	Daemon   directory.Daemon   `json:"daemon"`
+	Version  string             `json:"version"`
+	Settings settings.Version   `json:"settings_version"`
+	Services []kernel.Readiness `json:"services"`
+	Daemons  int                `json:"daemons"`
+	Pools    []PoolStatus       `json:"pools"`
+}
+
+// PoolStatus sums up one pool.
+type PoolStatus struct {
+	Pool    string `json:"pool"`
+	Term    uint64 `json:"term"`
+	Seq     uint64 `json:"seq"`
+	Servers int    `json:"servers"`
+	Shards  int    `json:"shards"`
+}
+
+func (a *Admin) status(ctx *fasthttp.RequestCtx) {
+	snapshot := a.directory.Load()
+	status := Status{
+		Daemon:   snapshot.Daemons[a.config.Name],
+		Version:  buildinfo.Version,
+		Services: a.readiness(),
+		Daemons:  len(snapshot.Daemons),
+	}
+	if snapshot.Settings != nil {
+		status.Settings = snapshot.Settings.Version
+	}
+	for name, assignment := range snapshot.Pools {
+		status.Pools = append(status.Pools, PoolStatus{
+			Pool:    string(name),
+			Term:    uint64(assignment.Term),
+			Seq:     uint64(assignment.Seq),
+			Servers: len(assignment.Servers),
+			Shards:  len(assignment.Shards),
+		})
+	}
+	writeJSON(ctx, status)
+}
+
+func (a *Admin) faults(ctx *fasthttp.RequestCtx) {
+	var faults netx.Faults
+	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	a.network.SetFaults(faults)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,183 @@
+// Package config reads the daemon's own settings: its name, availability zone,
+// addresses and where the platform is. They are fixed for the life of a process
+// and apart from the settings tree, which operators change while daemons run.
+package config
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylug/chicorylug/internal/jsonc"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Config is the content of a daemon's settings file.
+type Config struct {
+	Name model.DaemonID `json:"name"`
+	Zone model.Zone     `json:"zone"`
+	// Region groups availability zones; empty when there is one.
+	Region string `json:"region,omitempty"`
+	// CallerAddress serves callers, AdminAddress operators, DispatchAddress and
+	// ControlAddress other daemons. Each is ip:port.
+	CallerAddress   string `json:"caller_address"`
+	AdminAddress    string `json:"admin_address"`
+	DispatchAddress string `json:"dispatch_address"`
+	ControlAddress  string `json:"control_address"`
+	// PlatformAddress is the ip:port of the platform's service.
+	PlatformAddress string `json:"platform_address,omitempty"`
+	LogLevel        string `json:"log_level,omitempty"`
+	// ShutdownSeconds bounds the wait for requests in progress at the end.
+	ShutdownSeconds int `json:"shutdown_seconds,omitempty"`
+	// TestFaults opens /debug/faults on the admin address, for tests only.
+	TestFaults bool `json:"test_faults,omitempty"`
+	// Embedded starts a stand-in platform and backend servers in the process.
+	Embedded *Embedded `json:"embedded,omitempty"`
+	// AdminAuth protects the admin address.
+	AdminAuth *AdminAuth `json:"admin_auth,omitempty"`
+}
+
+// Embedded describes the stand-ins of a trial installation.
+type Embedded struct {
+	// SettingsFile is the settings tree to accept at the start, relative to the settings file.
+	SettingsFile string           `json:"settings_file"`
+	Servers      []EmbeddedServer `json:"servers"`
+}
+
+// EmbeddedServer describes the stand-in servers of one pool.
+type EmbeddedServer struct {
+	Pool      model.PoolName `json:"pool"`
+	Count     int            `json:"count"`
+	ServiceMS float64        `json:"service_ms"`
+	BodyBytes int            `json:"body_bytes"`
+}
+
+// AdminAuth holds what protects the admin address.
+type AdminAuth struct {
+	// TokensFile lists tokens with their teams; CertFile and KeyFile switch TLS on.
+	TokensFile string `json:"tokens_file,omitempty"`
+	CertFile   string `json:"cert_file,omitempty"`
+	KeyFile    string `json:"key_file,omitempty"`
+}
+
+// DefaultShutdownSeconds is the wait for requests in progress when none is set.
+const DefaultShutdownSeconds = 300
+
+// Load reads and checks a settings file. Problems name file, line and path.
+func Load(file string) (*Config, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, text)
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(file string, text []byte) (*Config, error) {
+	doc, err := jsonc.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{LogLevel: "info", ShutdownSeconds: DefaultShutdownSeconds}
+	if err := doc.Decode(c); err != nil {
+		return nil, err
+	}
+	if problems := c.check(doc); len(problems) > 0 {
+		return nil, problems
+	}
+	return c, nil
+}
+
+type namedAddress struct {
+	name    string
+	address string
+}
+
+func (c *Config) listeners() []namedAddress {
+	return []namedAddress{
+		{"caller_address", c.CallerAddress},
+		{"admin_address", c.AdminAddress},
+		{"dispatch_address", c.DispatchAddress},
+		{"control_address", c.ControlAddress},
+	}
+}
+
+func (c *Config) check(doc *jsonc.Document) jsonc.Problems {
+	var problems jsonc.Problems
+	add := func(path, format string, args ...any) {
+		problems = append(problems, doc.Problem(strings.Split(path, "."), format, args...))
+	}
+	if c.Name == "" {
+		add("name", "missing; want the daemon's name")
+	}
+	if c.Zone == "" {
+		add("zone", "missing; want the availability zone")
+	}
+	if c.ShutdownSeconds < 1 {
+		add("shutdown_seconds", "found %d, want 1 or more", c.ShutdownSeconds)
+	}
+	c.checkListeners(add)
+	c.checkPlatform(add)
+	if !knownLevel(c.LogLevel) {
+		add("log_level", "found %q, want debug, info, warn or error", c.LogLevel)
+	}
+	return problems
+}
+
+func (c *Config) checkListeners(add func(path, format string, args ...any)) {
+	taken := map[string]string{}
+	for _, l := range c.listeners() {
+		if problem := addressProblem(l.address); problem != "" {
+			add(l.name, "%s", problem)
+			continue
+		}
+		if other, clash := taken[l.address]; clash && !strings.HasSuffix(l.address, ":0") {
+			add(l.name, "%s is already the %s", l.address, other)
+		}
+		taken[l.address] = l.name
+	}
+}
+
+func (c *Config) checkPlatform(add func(path, format string, args ...any)) {
+	if c.Embedded == nil {
+		if problem := addressProblem(c.PlatformAddress); problem != "" {
+			add("platform_address", "%s", problem)
+		}
+		return
+	}
+	if c.Embedded.SettingsFile == "" {
+		add("embedded.settings_file", "missing; want the path of a settings tree")
+	}
+	for i, server := range c.Embedded.Servers {
+		if server.Count < 1 {
+			add("embedded.servers."+strconv.Itoa(i)+".count", "found %d, want 1 or more", server.Count)
+		}
+	}
+}
+
+// addressProblem returns what is wrong with an ip:port, or "".
+func addressProblem(address string) string {
+	if address == "" {
+		return "missing; want ip:port"
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return "found " + strconv.Quote(address) + ", want ip:port"
+	}
+	if number, err := strconv.Atoi(port); err != nil || number < 0 || number > 65535 {
+		return "found port " + strconv.Quote(port) + ", want 0 to 65535"
+	}
+	return ""
+}
+
+func knownLevel(level string) bool {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,121 @@
+// Package daemon puts the services of one chicorylugd together.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/admin"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/control"
+	"github.com/chicorylug/chicorylug/internal/coordinator"
+	"github.com/chicorylug/chicorylug/internal/directory"
+	"github.com/chicorylug/chicorylug/internal/dispatcher"
+	"github.com/chicorylug/chicorylug/internal/entry"
+	"github.com/chicorylug/chicorylug/internal/journal"
+	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/rpc"
+)
+
+// Daemon is one chicorylugd.
+type Daemon struct {
+	config  *config.Config
+	network *netx.Network
+	kernel  *kernel.Kernel
+	loop    *control.Loop
+}
+
+// New builds a daemon from its settings. The network may be nil.
+func New(c *config.Config, network *netx.Network, log *zap.Logger) (*Daemon, error) {
+	if network == nil {
+		network = &netx.Network{}
+	}
+	log = log.With(zap.String("daemon", string(c.Name)))
+	d := &Daemon{config: c, network: network, kernel: kernel.New(log), loop: control.NewLoop()}
+	if err := d.provide(log); err != nil {
+		return nil, err
+	}
+	return d, d.kernel.Build()
+}
+
+func (d *Daemon) provide(log *zap.Logger) error {
+	for _, constructor := range []any{
+		func() *config.Config { return d.config },
+		func() *netx.Network { return d.network },
+		func() *control.Loop { return d.loop },
+		func() *zap.Logger { return log },
+		func() *journal.Journal { return journal.New(d.config.Name) },
+		func() admin.ReadinessSource { return d.kernel.Readiness },
+		metrics.New,
+		directory.New,
+		ownership.NewGate,
+		rpc.NewServer,
+		rpc.NewClient,
+		newPlatform,
+		func(c *coordinator.Coordinator) dispatcher.EvidenceSink { return c },
+	} {
+		if err := d.kernel.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	return d.addServices()
+}
+
+func (d *Daemon) addServices() error {
+	for _, add := range []func() error{
+		func() error { return kernel.Add[*dispatcher.Dispatcher](d.kernel, dispatcher.New) },
+		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
+		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
+		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
+	} {
+		if err := add(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newPlatform(c *config.Config, network *netx.Network) platform.Platform {
+	return platform.NewClient(c.PlatformAddress, network.Dial)
+}
+
+// Start starts all services.
+func (d *Daemon) Start(ctx context.Context) error { return d.kernel.Start(ctx) }
+
+// Config returns the settings with the addresses that were taken for port 0.
+func (d *Daemon) Config() *config.Config { return d.config }
+
+// Network returns the daemon's network, for faults in tests.
+func (d *Daemon) Network() *netx.Network { return d.network }
+
+// Invoke calls f with values from the daemon's container.
+func (d *Daemon) Invoke(f any) error { return d.kernel.Invoke(f) }
+
+// Ready returns nil when all services are ready.
+func (d *Daemon) Ready() error {
+	for _, state := range d.kernel.Readiness() {
+		if !state.Ready {
+			return errors.Errorf("%s: %s", state.Service, state.Why)
+		}
+	}
+	return nil
+}
+
+// Stop finishes the requests in progress and stops all services.
+func (d *Daemon) Stop(ctx context.Context) error {
+	err := d.kernel.Stop(ctx)
+	d.loop.Close()
+	return err
+}
+
+// ShutdownTimeout bounds Stop.
+func (d *Daemon) ShutdownTimeout() time.Duration {
+	return time.Duration(d.config.ShutdownSeconds) * time.Second
+}
--- /dev/null
+++ b/internal/daemon/embedded.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/standin/backend"
+	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+)
+
+// Embedded is a stand-in platform with stand-in servers inside the process,
+// for trying the program out.
+type Embedded struct {
+	platform *platformd.Server
+	servers  []*backend.Server
+}
+
+// StartEmbedded starts the stand-ins that c asks for and points c at them.
+// Paths are relative to the folder of file.
+func StartEmbedded(c *config.Config, file string) (*Embedded, error) {
+	tree, err := os.ReadFile(filepath.Join(filepath.Dir(file), c.Embedded.SettingsFile))
+	if err != nil {
+		return nil, errors.Wrap(err, "embedded.settings_file")
+	}
+	parsed, err := settings.Parse(tree)
+	if err != nil {
+		return nil, err
+	}
+	compiled, err := settings.Compile(parsed, 1)
+	if err != nil {
+		return nil, err
+	}
+	p, err := platformd.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "start the stand-in platform")
+	}
+	c.PlatformAddress = p.Address()
+	e := &Embedded{platform: p}
+	if err := e.acceptSettings(tree); err != nil {
+		return nil, err
+	}
+	e.register(platform.Instance{ID: string(c.Name), Kind: platform.KindDaemon, Zone: c.Zone, Address: c.ControlAddress})
+	return e, e.startServers(c, compiled)
+}
+
+func (e *Embedded) acceptSettings(tree []byte) error {
+	client := platform.NewClient(e.platform.Address(), nil)
+	_, err := client.CompareAndSet(context.Background(), platform.Write{
+		Key:     "settings/tree",
+		Value:   tree,
+		WriteID: platform.WriteID(uuid.NewString()),
+	})
+	return errors.Wrap(err, "accept the embedded settings")
+}
+
+func (e *Embedded) register(instance platform.Instance) {
+	instance.State = platform.StateLive
+	e.platform.Register(instance)
+}
+
+func (e *Embedded) startServers(c *config.Config, compiled *settings.Compiled) error {
+	for i, wanted := range c.Embedded.Servers {
+		pool, ok := compiled.Pools[wanted.Pool]
+		if !ok {
+			return errors.Errorf("embedded.servers.%d.pool: no pool %q in %s", i, wanted.Pool, c.Embedded.SettingsFile)
+		}
+		for number := 1; number <= wanted.Count; number++ {
+			if err := e.startServer(c, wanted, pool, number); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (e *Embedded) startServer(c *config.Config, wanted config.EmbeddedServer, pool *settings.Pool, number int) error {
+	server, err := backend.Start(backend.Options{
+		ID:           model.ServerID(fmt.Sprintf("%s-%d", wanted.Pool, number)),
+		Pool:         wanted.Pool,
+		Zone:         c.Zone,
+		Address:      "127.0.0.1:0",
+		Slots:        pool.Slots,
+		ServiceMS:    wanted.ServiceMS,
+		BodyBytes:    wanted.BodyBytes,
+		ChecksGrants: pool.ChecksGrants,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start a stand-in server")
+	}
+	e.servers = append(e.servers, server)
+	e.register(platform.Instance{ID: string(server.ID()), Kind: platform.KindServer, Pool: wanted.Pool, Zone: c.Zone, Address: server.Address()})
+	return nil
+}
+
+// Stop ends the stand-ins.
+func (e *Embedded) Stop() {
+	for _, server := range e.servers {
+		server.Kill()
+	}
+	e.platform.Stop()
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/chicorylug/chicorylug/internal/buildinfo"
+	"github.com/chicorylug/chicorylug/internal/config"
+)
+
+// Exit codes of chicorylugd.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // a service failed to start or stop
+	ExitBadUsage = 2 // wrong arguments or settings
+)
+
+type options struct {
+	Config  string `long:"config" short:"c" value-name:"FILE" description:"settings of this daemon, JSON with comments"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the program chicorylugd and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var o options
+	parser := flags.NewNamedParser("chicorylugd", flags.HelpFlag|flags.PassDoubleDash)
+	_, _ = parser.AddGroup("Daemon", "", &o)
+	parser.LongDescription = "Routes requests to servers that own keys exclusively.\n\nExample: chicorylugd --config examples/quickstart.jsonc"
+	if _, err := parser.ParseArgs(args); err != nil {
+		return usageExit(err, stdout, stderr)
+	}
+	if o.Version {
+		fmt.Fprintln(stdout, "chicorylugd", buildinfo.Version)
+		return ExitOK
+	}
+	if o.Config == "" {
+		fmt.Fprintln(stderr, "chicorylugd: --config FILE is missing; see --help")
+		return ExitBadUsage
+	}
+	c, err := config.Load(o.Config)
+	if err != nil {
+		fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
+		return ExitBadUsage
+	}
+	if o.Check {
+		fmt.Fprintf(stdout, "%s: ok\n", o.Config)
+		return ExitOK
+	}
+	if err := run(c, o.Config, stderr); err != nil {
+		fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func usageExit(err error, stdout, stderr io.Writer) int {
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, err)
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
+	return ExitBadUsage
+}
+
+// run serves until SIGTERM or SIGINT, then finishes the requests in progress.
+func run(c *config.Config, file string, stderr io.Writer) error {
+	log, err := NewLogger(c.LogLevel, stderr)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if c.Embedded != nil {
+		embedded, err := StartEmbedded(c, file)
+		if err != nil {
+			return err
+		}
+		defer embedded.Stop()
+	}
+	d, err := New(c, nil, log)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(context.Background()); err != nil {
+		return err
+	}
+	log.Info("serving", zap.String("callers", c.CallerAddress), zap.String("operators", c.AdminAddress))
+	got := <-signals
+	log.Info("stopping", zap.Stringer("signal", got))
+	ctx, cancel := context.WithTimeout(context.Background(), d.ShutdownTimeout())
+	defer cancel()
+	return d.Stop(ctx)
+}
+
+// NewLogger returns a structured logger that writes JSON lines.
+func NewLogger(level string, out io.Writer) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log_level")
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(zapcore.AddSync(out)), parsed)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,108 @@
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/directory"
+	"github.com/chicorylug/chicorylug/internal/journal"
+	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/ownership"
+)
+
+// ServiceName is the dispatcher's name in the kernel.
+const ServiceName kernel.Name = "dispatcher"
+
+// EvidenceSink takes what the dispatcher sees of servers.
+type EvidenceSink interface {
+	Report(ownership.Evidence)
+}
+
+// Dispatcher serves entries on the dispatch address.
+type Dispatcher struct {
+	config    *config.Config
+	network   *netx.Network
+	gate      *ownership.Gate
+	directory *directory.Directory
+	metrics   *metrics.Registry
+	journal   *journal.Journal
+	evidence  EvidenceSink
+	log       *zap.Logger
+
+	mu      sync.Mutex
+	servers map[model.ServerRef]*server
+
+	listener net.Listener
+	http     *fasthttp.Server
+}
+
+// New returns a dispatcher that is not yet started.
+func New(
+	c *config.Config,
+	network *netx.Network,
+	gate *ownership.Gate,
+	dir *directory.Directory,
+	registry *metrics.Registry,
+	j *journal.Journal,
+	evidence EvidenceSink,
+	log *zap.Logger,
+) *Dispatcher {
+	return &Dispatcher{
+		config:    c,
+		network:   network,
+		gate:      gate,
+		directory: dir,
+		metrics:   registry,
+		journal:   j,
+		evidence:  evidence,
+		log:       log.Named(string(ServiceName)),
+		servers:   map[model.ServerRef]*server{},
+	}
+}
+
+// Name implements kernel.Service.
+func (d *Dispatcher) Name() kernel.Name { return ServiceName }
+
+// After implements kernel.Service.
+func (d *Dispatcher) After() []kernel.Name { return nil }
+
+// Start implements kernel.Service.
+func (d *Dispatcher) Start(context.Context) error {
+	listener, err := net.Listen("tcp", d.config.DispatchAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	d.listener = listener
+	d.config.DispatchAddress = listener.Addr().String()
+	d.http = &fasthttp.Server{
+		Handler:               d.handle,
+		StreamRequestBody:     true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+	}
+	go func() { _ = d.http.Serve(listener) }()
+	return nil
+}
+
+// Ready implements kernel.Service.
+func (d *Dispatcher) Ready() error { return nil }
+
+// Stop implements kernel.Service. It waits for the requests in progress.
+func (d *Dispatcher) Stop(ctx context.Context) error {
+	return errors.Wrap(d.http.ShutdownWithContext(ctx), "finish requests in progress")
+}
+
+// report passes evidence of a server to control.
+func (d *Dispatcher) report(ref model.ServerRef, kind ownership.EvidenceKind, detail string) {
+	d.evidence.Report(ownership.Evidence{Server: ref, Kind: kind, At: time.Now(), Detail: detail})
+}
--- /dev/null
+++ b/internal/ownership/permit.go
@@ -0,0 +1,47 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// PermitsOf derives the permits of a daemon from an assignment. Moving shards
+// are left out, so that they drain.
+func PermitsOf(a *Assignment, daemon model.DaemonID, until time.Time) []*Permit {
+	var permits []*Permit
+	for i := range a.Servers {
+		server := &a.Servers[i]
+		for _, dispatcher := range server.Dispatchers {
+			if dispatcher.Daemon == daemon && dispatcher.State == DispatcherActive {
+				permits = append(permits, permitFor(a, server, dispatcher.Slots, until))
+			}
+		}
+	}
+	return permits
+}
+
+func permitFor(a *Assignment, server *Server, slots int, until time.Time) *Permit {
+	return &Permit{
+		Server:  model.ServerRef{Pool: a.Pool, Server: server.ID},
+		Address: server.Address,
+		Zone:    server.Zone,
+		Term:    a.Term,
+		Seq:     a.Seq,
+		Keyed:   a.Keyed,
+		Shards:  a.sendable(server.ID),
+		Slots:   slots,
+		Until:   until,
+	}
+}
+
+// sendable returns the epochs of the shards that a server owns and keeps.
+func (a *Assignment) sendable(server model.ServerID) map[model.ShardID]model.Epoch {
+	shards := map[model.ShardID]model.Epoch{}
+	for id, shard := range a.Shards {
+		if shard.Server == server && shard.Next == "" {
+			shards[model.ShardID(id)] = shard.Epoch
+		}
+	}
+	return shards
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,28 @@
+// Package placement chooses servers for shards and daemons for servers. It is
+// pure: the same input gives the same output on every daemon.
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the rendezvous weight of a candidate for a subject.
+func Score(subject, candidate string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(subject)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(candidate)
+	return digest.Sum64()
+}
+
+// First returns the candidate with the highest score, or "" when there is none.
+func First(subject string, candidates []string) string {
+	best := ""
+	var bestScore uint64
+	for _, candidate := range candidates {
+		if score := Score(subject, candidate); best == "" || score > bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/reason/reason.go
@@ -0,0 +1,143 @@
+package reason
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Code names why a request was refused, retried or failed. Each code has its
+// own counter per daemon.
+type Code string
+
+// Codes of refusals and failures.
+const (
+	BadRequest         Code = "bad_request"
+	NoRoute            Code = "no_route"
+	MethodNotAllowed   Code = "method_not_allowed"
+	KeyMissing         Code = "key_missing"
+	IdempotencyMissing Code = "idempotency_key_missing"
+	InProgress         Code = "in_progress"
+	OutcomeUnknown     Code = "outcome_unknown"
+	StoreUnavailable   Code = "store_unavailable"
+	NoOwner            Code = "no_owner"
+	WrongEpoch         Code = "wrong_epoch"
+	ShardMoving        Code = "shard_moving"
+	NotDispatcher      Code = "not_dispatcher"
+	PermitExpired      Code = "permit_expired"
+	QueueFull          Code = "queue_full"
+	DeadlineTooShort   Code = "deadline_too_short"
+	DeadlinePassed     Code = "deadline_passed"
+	ServerShed         Code = "server_shed"
+	ServerDraining     Code = "server_draining"
+	ServerUnreachable  Code = "server_unreachable"
+	ServerLost         Code = "server_lost"
+	ServerRefusedGrant Code = "server_refused_grant"
+	DispatcherLost     Code = "dispatcher_lost"
+	ShortAnswer        Code = "short_answer"
+	ShortUpload        Code = "short_upload"
+	DigestMismatch     Code = "digest_mismatch"
+	BodyTooLarge       Code = "body_too_large"
+	EntryFull          Code = "entry_full"
+	RetryBudget        Code = "retry_budget"
+	Suspected          Code = "suspected_crash"
+	CallerGone         Code = "caller_gone"
+	ShuttingDown       Code = "shutting_down"
+	NotReady           Code = "not_ready"
+	Internal           Code = "internal"
+)
+
+// Outcome says what is known about whether a request ran.
+type Outcome string
+
+// Outcomes. NotRun is sent only when no byte of the request reached a server,
+// or the server said in its protocol that it did not run the request.
+const (
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Error is a refusal or failure of one request. It is sent to callers as JSON
+// and between daemons in the same shape.
+type Error struct {
+	Code      Code            `json:"reason"`
+	Outcome   Outcome         `json:"outcome"`
+	Step      string          `json:"step"`
+	Peer      string          `json:"peer,omitempty"`
+	RequestID model.RequestID `json:"request_id,omitempty"`
+	Message   string          `json:"message"`
+	// RetryAfter is the pause after which a repeat is worth trying; zero means none is advised.
+	RetryAfter time.Duration `json:"-"`
+	// RetryAfterMS carries RetryAfter in milliseconds.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// Epoch is the owner epoch that the refusing daemon knows, for WrongEpoch.
+	Epoch model.Epoch `json:"epoch,omitempty"`
+	// Seq is the assignment version that the refusing daemon knows.
+	Seq model.Seq `json:"seq,omitempty"`
+}
+
+// New returns an error for a request that provably did not run.
+func New(code Code, step, peer, format string, args ...any) *Error {
+	return &Error{Code: code, Outcome: NotRun, Step: step, Peer: peer, Message: fmt.Sprintf(format, args...)}
+}
+
+// NewUnknown returns an error for a request that may have run.
+func NewUnknown(code Code, step, peer, format string, args ...any) *Error {
+	return &Error{Code: code, Outcome: Unknown, Step: step, Peer: peer, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s at %s (peer %q, outcome %s): %s", e.Code, e.Step, e.Peer, e.Outcome, e.Message)
+}
+
+// JSON returns the body that a caller receives.
+func (e *Error) JSON() []byte {
+	copied := *e
+	copied.RetryAfterMS = e.RetryAfter.Milliseconds()
+	body, err := json.Marshal(&copied)
+	if err != nil {
+		return []byte(`{"reason":"internal","outcome":"unknown"}`)
+	}
+	return body
+}
+
+// Parse reads an error that another daemon sent.
+func Parse(body []byte) (*Error, error) {
+	var e Error
+	if err := json.Unmarshal(body, &e); err != nil {
+		return nil, err
+	}
+	e.RetryAfter = time.Duration(e.RetryAfterMS) * time.Millisecond
+	return &e, nil
+}
+
+// Status returns the HTTP status code under which a caller sees the code.
+func (c Code) Status() int {
+	switch c {
+	case BadRequest, KeyMissing, IdempotencyMissing, ShortUpload, DigestMismatch:
+		return 400
+	case NoRoute:
+		return 404
+	case MethodNotAllowed:
+		return 405
+	case InProgress:
+		return 409
+	case BodyTooLarge:
+		return 413
+	case Suspected:
+		return 422
+	case QueueFull, EntryFull, RetryBudget, ServerShed:
+		return 429
+	case OutcomeUnknown, ServerLost, ShortAnswer, DispatcherLost:
+		return 502
+	case DeadlinePassed, DeadlineTooShort:
+		return 504
+	case Internal:
+		return 500
+	default:
+		return 503
+	}
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,232 @@
+// Package rpc carries typed JSON-RPC 2.0 calls between daemons over TCP. It
+// keeps one connection per peer and counts messages and bytes in each direction.
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/creachadair/jrpc2"
+	"github.com/creachadair/jrpc2/channel"
+	"github.com/creachadair/jrpc2/handler"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/netx"
+)
+
+// Limits of calls.
+const (
+	DefaultTimeout = time.Second // bound of a call whose context has no deadline
+	concurrency    = 64          // calls served at one time on one connection
+)
+
+// Method names a remote method.
+type Method string
+
+// Server serves the methods that the daemon's services registered.
+type Server struct {
+	meter *meter
+
+	mu       sync.Mutex
+	methods  handler.Map
+	listener net.Listener
+	conns    map[net.Conn]*jrpc2.Server
+	closed   bool
+}
+
+// NewServer returns a server without methods.
+func NewServer(registry *metrics.Registry) *Server {
+	return &Server{
+		meter:   newMeter(registry),
+		methods: handler.Map{},
+		conns:   map[net.Conn]*jrpc2.Server{},
+	}
+}
+
+// Handle registers a method. It must be called before Serve.
+func Handle[Req, Resp any](s *Server, method Method, f func(context.Context, *Req) (*Resp, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.methods[string(method)] = handler.New(f)
+}
+
+// Serve accepts connections on the listener until Close.
+func (s *Server) Serve(listener net.Listener) {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	metered := &meteredConn{Conn: conn, meter: s.meter}
+	server := jrpc2.NewServer(s.methods, &jrpc2.ServerOptions{Concurrency: concurrency, DisableBuiltin: true})
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	s.conns[conn] = server
+	s.mu.Unlock()
+	_ = server.Start(channel.Line(metered, metered)).Wait()
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+// Close stops accepting and closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	listener := s.listener
+	conns := make([]net.Conn, 0, len(s.conns))
+	for conn := range s.conns {
+		conns = append(conns, conn)
+	}
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+// Client calls methods of peers by address.
+type Client struct {
+	network *netx.Network
+	meter   *meter
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is the connection to one address; its lock serializes dialing.
+type peer struct {
+	mu     sync.Mutex
+	client *jrpc2.Client
+	conn   net.Conn
+}
+
+// NewClient returns a client that dials through the network.
+func NewClient(network *netx.Network, registry *metrics.Registry) *Client {
+	return &Client{network: network, meter: newMeter(registry), peers: map[string]*peer{}}
+}
+
+// RemoteError is an answer of the peer that the call failed there.
+type RemoteError struct {
+	Peer    string
+	Method  Method
+	Message string
+}
+
+// Error implements the error interface.
+func (e *RemoteError) Error() string {
+	return string(e.Method) + " at " + e.Peer + ": " + e.Message
+}
+
+// Call calls a method of the peer at address. Errors carry the method and the
+// peer; a RemoteError says that the peer answered.
+func Call[Resp, Req any](ctx context.Context, c *Client, address string, method Method, req *Req) (*Resp, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+	}
+	p := c.peer(address)
+	client, err := p.connect(c, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: dial %s", method, address)
+	}
+	resp := new(Resp)
+	err = client.CallResult(ctx, string(method), req, resp)
+	if err == nil {
+		return resp, nil
+	}
+	var remote *jrpc2.Error
+	if errors.As(err, &remote) && ctx.Err() == nil {
+		return nil, &RemoteError{Peer: address, Method: method, Message: remote.Message}
+	}
+	p.drop(client)
+	return nil, errors.Wrapf(err, "%s: call %s", method, address)
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = &peer{}
+		c.peers[address] = p
+	}
+	return p
+}
+
+func (p *peer) connect(c *Client, address string) (*jrpc2.Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil && !p.client.IsStopped() {
+		return p.client, nil
+	}
+	conn, err := c.network.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	metered := &meteredConn{Conn: conn, meter: c.meter}
+	p.conn = conn
+	p.client = jrpc2.NewClient(channel.Line(metered, metered), nil)
+	return p.client, nil
+}
+
+// drop closes a connection on which a call failed, unless it was replaced already.
+func (p *peer) drop(client *jrpc2.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != client {
+		return
+	}
+	_ = p.conn.Close()
+	p.client = nil
+}
+
+// Forget closes the connection to an address that is not used any more.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p, ok := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if ok {
+		p.close()
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	peers := c.peers
+	c.peers = map[string]*peer{}
+	c.mu.Unlock()
+	for _, p := range peers {
+		p.close()
+	}
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
+	p.client = nil
+}
--- /dev/null
+++ b/internal/settings/compile.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Compiled is an accepted tree in the immutable form that traffic reads.
+type Compiled struct {
+	Version Version
+	Tree    *Tree
+	Pools   map[model.PoolName]*Pool
+	Routes  []*Route
+	// RankIndex gives each rank's position, 0 for the most urgent.
+	RankIndex map[model.Rank]int
+}
+
+// Parse reads a tree from JSON with comments. Unknown names are errors.
+func Parse(text []byte) (*Tree, error) {
+	standard, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return nil, errors.Wrap(err, "settings: syntax")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	var tree Tree
+	if err := decoder.Decode(&tree); err != nil {
+		return nil, errors.Wrap(err, "settings: decode")
+	}
+	return &tree, nil
+}
+
+// Compile checks a tree, fills in defaults and returns its immutable form.
+func Compile(tree *Tree, version Version) (*Compiled, error) {
+	c := &Compiled{
+		Version:   version,
+		Tree:      tree,
+		Pools:     map[model.PoolName]*Pool{},
+		RankIndex: map[model.Rank]int{},
+	}
+	for i, rank := range tree.Fleet.Ranks {
+		c.RankIndex[rank.Name] = i
+	}
+	for name, team := range tree.Teams {
+		if err := c.addTeam(name, team); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Compiled) addTeam(name model.TeamName, team *Team) error {
+	for poolName, pool := range team.Pools {
+		if _, taken := c.Pools[poolName]; taken {
+			return errors.Errorf("settings: team %s: pool %s already exists", name, poolName)
+		}
+		c.Pools[poolName] = poolWithDefaults(pool)
+	}
+	for _, route := range team.Routes {
+		if _, ok := team.Pools[route.Pool]; !ok {
+			return errors.Errorf("settings: team %s: route %s: no pool %s", name, route.Name, route.Pool)
+		}
+		if _, ok := c.RankIndex[route.Rank]; !ok {
+			return errors.Errorf("settings: team %s: route %s: no rank %s", name, route.Name, route.Rank)
+		}
+		c.Routes = append(c.Routes, routeWithDefaults(route))
+	}
+	return nil
+}
+
+func poolWithDefaults(pool *Pool) *Pool {
+	p := *pool
+	setDefault(&p.Slots, 1)
+	setDefault(&p.Connections, p.Slots)
+	setDefault(&p.QueuePerRank, DefaultQueuePerRank)
+	setDefault(&p.AttemptTimeoutMS, DefaultAttemptTimeoutMS)
+	setDefault(&p.RetryPercent, DefaultRetryPercent)
+	setDefault(&p.SlowStartMS, DefaultSlowStartMS)
+	if p.Keyed {
+		setDefault(&p.Shards, DefaultShards)
+	}
+	return &p
+}
+
+func routeWithDefaults(route *Route) *Route {
+	r := *route
+	setDefault(&r.TimeoutMS, DefaultRouteTimeoutMS)
+	if r.MaxBodyBytes == 0 {
+		r.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if r.Repeat == "" {
+		r.Repeat = defaultRepeat(r.Methods)
+	}
+	return &r
+}
+
+func defaultRepeat(methods []string) Repeat {
+	safe := func(m string) bool { return m == "GET" || m == "HEAD" }
+	if len(methods) > 0 && !slices.ContainsFunc(methods, func(m string) bool { return !safe(m) }) {
+		return Idempotent
+	}
+	return Once
+}
+
+func setDefault(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,46 @@
+// Package wire names the HTTP headers and paths that callers, daemons and
+// backend servers exchange.
+package wire
+
+// Headers between callers and entry daemons.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderServer         = "X-Chicorylug-Server"
+	HeaderDispatcher     = "X-Chicorylug-Dispatcher"
+	HeaderEpoch          = "X-Chicorylug-Epoch"
+	// HeaderDeadline is an absolute time in Unix milliseconds.
+	HeaderDeadline = "X-Chicorylug-Deadline"
+	// HeaderReason marks an answer that a daemon made itself; its body is a reason.Error.
+	HeaderReason = "X-Chicorylug-Reason"
+	// HeaderBodySHA256 is the hex SHA-256 of a body, checked end to end where given.
+	HeaderBodySHA256 = "X-Body-Sha256"
+)
+
+// Headers from entry to dispatcher.
+const (
+	HeaderPool  = "X-Chicorylug-Pool"
+	HeaderRank  = "X-Chicorylug-Rank"
+	HeaderShard = "X-Chicorylug-Shard"
+	HeaderKey   = "X-Chicorylug-Key"
+	HeaderTerm  = "X-Chicorylug-Term"
+	HeaderRoute = "X-Chicorylug-Route"
+	// HeaderOnce is "1" on requests that may run at most once.
+	HeaderOnce = "X-Chicorylug-Once"
+)
+
+// Headers from backend servers.
+const (
+	// HeaderLoad reports "in-use/slots".
+	HeaderLoad = "X-Server-Load"
+	// HeaderDraining is "1" while the server is leaving.
+	HeaderDraining = "X-Server-Draining"
+	// HeaderNotRun is "1" on an answer to a request that the server did not run.
+	HeaderNotRun = "X-Server-Not-Run"
+)
+
+// Paths of backend servers, besides callers' own paths.
+const (
+	PathGrant  = "/.chicorylug/grant"
+	PathHealth = "/.chicorylug/health"
+)
