--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 
 	"github.com/fasthttp/router"
 	"github.com/pkg/errors"
@@ -81,7 +80,7 @@
 
 // Start implements kernel.Service.
 func (a *Admin) Start(context.Context) error {
-	listener, err := net.Listen("tcp", a.config.AdminAddress)
+	listener, err := a.network.Listen(a.config.AdminAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sort"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -51,6 +51,7 @@
 	config      *config.Config
 	incarnation model.Incarnation
 	loop        *control.Loop
+	network     *netx.Network
 	platform    platform.Platform
 	server      *rpc.Server
 	client      *rpc.Client
@@ -68,6 +69,7 @@
 func New(
 	c *config.Config,
 	loop *control.Loop,
+	network *netx.Network,
 	p platform.Platform,
 	server *rpc.Server,
 	client *rpc.Client,
@@ -81,6 +83,7 @@
 		config:      c,
 		incarnation: model.Incarnation(uuid.NewString()),
 		loop:        loop,
+		network:     network,
 		platform:    p,
 		server:      server,
 		client:      client,
@@ -103,7 +106,7 @@
 
 // Start implements kernel.Service.
 func (c *Coordinator) Start(context.Context) error {
-	listener, err := net.Listen("tcp", c.config.ControlAddress)
+	listener, err := c.network.Listen(c.config.ControlAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for control")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,3 +119,11 @@
 func (d *Daemon) ShutdownTimeout() time.Duration {
 	return time.Duration(d.config.ShutdownSeconds) * time.Second
 }
+
+// Kill ends the daemon at once: connections are cut and nothing is handed over.
+func (d *Daemon) Kill() {
+	d.network.Kill()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.Stop(ended)
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -78,7 +78,7 @@
 
 // Start implements kernel.Service.
 func (d *Dispatcher) Start(context.Context) error {
-	listener, err := net.Listen("tcp", d.config.DispatchAddress)
+	listener, err := d.network.Listen(d.config.DispatchAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for entries")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,7 +68,7 @@
 
 // Start implements kernel.Service.
 func (e *Entry) Start(context.Context) error {
-	listener, err := net.Listen("tcp", e.config.CallerAddress)
+	listener, err := e.network.Listen(e.config.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,272 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/daemon"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/standin/backend"
+	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+)
+
+const anyPort = "127.0.0.1:0"
+
+// readyPoll is the period at which WaitReady asks.
+const readyPoll = 20 * time.Millisecond
+
+// PoolServers describes the stand-in servers of one pool.
+type PoolServers struct {
+	Pool      model.PoolName
+	Count     int
+	ServiceMS float64
+	BodyBytes int
+}
+
+// Options describe a fleet.
+type Options struct {
+	// Settings is the text of the tree to accept at the start.
+	Settings []byte
+	// Zones are given to daemons and servers in turn.
+	Zones   []model.Zone
+	Daemons int
+	Servers []PoolServers
+	// ZoneDelay is the one-way delay between different zones.
+	ZoneDelay time.Duration
+	Log       *zap.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform *platformd.Server
+	Servers  []*backend.Server
+	Nodes    []*Node
+
+	options Options
+	zoneOf  zoneMap
+}
+
+// Node is one daemon of a fleet.
+type Node struct {
+	Daemon *daemon.Daemon
+	Zone   model.Zone
+	name   model.DaemonID
+	alive  bool
+}
+
+// Start starts platform, servers and daemons. It does not wait for readiness.
+func Start(o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	f := &Fleet{options: o}
+	p, err := platformd.Start(anyPort)
+	if err != nil {
+		return nil, errors.Wrap(err, "start platform")
+	}
+	f.Platform = p
+	if err := f.acceptSettings(); err != nil {
+		return f, err
+	}
+	if err := f.startServers(); err != nil {
+		return f, err
+	}
+	for range o.Daemons {
+		if _, err := f.AddDaemon(); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) acceptSettings() error {
+	client := platform.NewClient(f.Platform.Address(), nil)
+	_, err := client.CompareAndSet(context.Background(), platform.Write{
+		Key:     "settings/tree",
+		Value:   f.options.Settings,
+		WriteID: platform.WriteID(uuid.NewString()),
+	})
+	return errors.Wrap(err, "accept settings")
+}
+
+func (f *Fleet) startServers() error {
+	tree, err := settings.Parse(f.options.Settings)
+	if err != nil {
+		return err
+	}
+	compiled, err := settings.Compile(tree, 1)
+	if err != nil {
+		return err
+	}
+	for _, wanted := range f.options.Servers {
+		pool, ok := compiled.Pools[wanted.Pool]
+		if !ok {
+			return errors.Errorf("no pool %s in the settings", wanted.Pool)
+		}
+		for number := 1; number <= wanted.Count; number++ {
+			if err := f.startServer(wanted, pool, number); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startServer(wanted PoolServers, pool *settings.Pool, number int) error {
+	zone := f.zone(number - 1)
+	server, err := backend.Start(backend.Options{
+		ID:           model.ServerID(fmt.Sprintf("%s-%d", wanted.Pool, number)),
+		Pool:         wanted.Pool,
+		Zone:         zone,
+		Address:      anyPort,
+		Slots:        pool.Slots,
+		ServiceMS:    wanted.ServiceMS,
+		BodyBytes:    wanted.BodyBytes,
+		ChecksGrants: pool.ChecksGrants,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start server")
+	}
+	f.Servers = append(f.Servers, server)
+	f.zoneOf.set(server.Address(), zone)
+	f.Platform.Register(platform.Instance{
+		ID:      string(server.ID()),
+		Kind:    platform.KindServer,
+		Pool:    wanted.Pool,
+		Zone:    zone,
+		State:   platform.StateLive,
+		Address: server.Address(),
+	})
+	return nil
+}
+
+func (f *Fleet) zone(index int) model.Zone {
+	return f.options.Zones[index%len(f.options.Zones)]
+}
+
+// AddDaemon starts one more daemon and lists it.
+func (f *Fleet) AddDaemon() (*Node, error) {
+	index := len(f.Nodes)
+	node := &Node{name: model.DaemonID(fmt.Sprintf("d%d", index+1)), Zone: f.zone(index)}
+	f.Nodes = append(f.Nodes, node)
+	return node, f.StartDaemon(node)
+}
+
+// StartDaemon starts the daemon of a node anew, with other addresses.
+func (f *Fleet) StartDaemon(node *Node) error {
+	c := &config.Config{
+		Name:            node.name,
+		Zone:            node.Zone,
+		CallerAddress:   anyPort,
+		AdminAddress:    anyPort,
+		DispatchAddress: anyPort,
+		ControlAddress:  anyPort,
+		PlatformAddress: f.Platform.Address(),
+		ShutdownSeconds: config.DefaultShutdownSeconds,
+	}
+	d, err := daemon.New(c, f.networkOf(node.Zone), f.options.Log)
+	if err != nil {
+		return err
+	}
+	node.Daemon = d
+	if err := d.Start(context.Background()); err != nil {
+		return err
+	}
+	node.alive = true
+	f.zoneOf.set(c.ControlAddress, node.Zone)
+	f.zoneOf.set(c.DispatchAddress, node.Zone)
+	f.register(node, platform.StateLive)
+	return nil
+}
+
+func (f *Fleet) networkOf(zone model.Zone) *netx.Network {
+	if f.options.ZoneDelay == 0 {
+		return &netx.Network{}
+	}
+	return &netx.Network{Delay: func(address string) time.Duration {
+		if other, known := f.zoneOf.get(address); known && other != zone {
+			return f.options.ZoneDelay
+		}
+		return 0
+	}}
+}
+
+func (f *Fleet) register(node *Node, state platform.InstanceState) {
+	f.Platform.Register(platform.Instance{
+		ID:      string(node.name),
+		Kind:    platform.KindDaemon,
+		Zone:    node.Zone,
+		State:   state,
+		Address: node.Daemon.Config().ControlAddress,
+	})
+}
+
+// KillDaemon ends a daemon at once. The instance list still shows it.
+func (f *Fleet) KillDaemon(node *Node) {
+	node.alive = false
+	node.Daemon.Kill()
+}
+
+// StopDaemon lists a daemon as leaving, stops it gracefully and removes it from the list.
+func (f *Fleet) StopDaemon(ctx context.Context, node *Node) error {
+	f.register(node, platform.StateLeaving)
+	err := node.Daemon.Stop(ctx)
+	node.alive = false
+	f.register(node, platformd.StateGone)
+	return err
+}
+
+// WaitReady waits until all running daemons are ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for {
+		err := f.ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "fleet is not ready")
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (f *Fleet) ready() error {
+	for _, node := range f.Nodes {
+		if !node.alive {
+			continue
+		}
+		if err := node.Daemon.Ready(); err != nil {
+			return errors.Wrap(err, string(node.name))
+		}
+	}
+	return nil
+}
+
+// CallerAddress returns the caller address of a node.
+func (n *Node) CallerAddress() string { return n.Daemon.Config().CallerAddress }
+
+// Name returns the daemon's name.
+func (n *Node) Name() model.DaemonID { return n.name }
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, node := range f.Nodes {
+		if node.alive {
+			f.KillDaemon(node)
+		}
+	}
+	for _, server := range f.Servers {
+		server.Kill()
+	}
+	f.Platform.Stop()
+}
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -4,6 +4,7 @@
 package netx
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	mu      sync.Mutex
 	blocked map[string]struct{}
 	changed chan struct{}
+	killed  bool
+	open    map[io.Closer]struct{}
 }
 
 // SetFaults replaces the faults and wakes stalled connections.
@@ -86,7 +89,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &faultConn{TCPConn: conn.(*net.TCPConn), network: n, address: address, closed: make(chan struct{})}, nil
+	wrapped := &faultConn{TCPConn: conn.(*net.TCPConn), network: n, address: address, closed: make(chan struct{})}
+	return wrapped, n.track(wrapped)
 }
 
 // faultConn stalls while its address is blocked and delays writes and answers.
@@ -178,5 +182,6 @@
 
 func (c *faultConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
+	c.network.forget(c)
 	return c.TCPConn.Close()
 }
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -80,6 +80,8 @@
 	End   time.Time `json:"end"`
 	// Whole says that the request ran to its end and was answered.
 	Whole bool `json:"whole"`
+	// Stopped says why a run ended early: "killed", "deadline" or "cancelled".
+	Stopped string `json:"stopped,omitempty"`
 }
 
 // Server is one stand-in backend server.
@@ -165,6 +167,7 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.thawed.Broadcast()
+	s.endRuns()
 	conns := s.conns
 	s.conns = map[net.Conn]struct{}{}
 	s.mu.Unlock()
@@ -174,6 +177,18 @@
 	}
 }
 
+// endRuns marks the runs in progress as killed. It runs under the lock.
+func (s *Server) endRuns() {
+	now := time.Now()
+	for _, run := range s.runs {
+		if run.End.IsZero() {
+			run.End = now
+			run.Stopped = stoppedKilled
+		}
+	}
+	s.inUse = 0
+}
+
 // abort closes a connection with a reset.
 func abort(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -187,7 +202,6 @@
 	address := s.Address()
 	s.mu.Lock()
 	s.stopped = false
-	s.inUse = 0
 	s.faults = Faults{}
 	s.grants = map[model.ShardID]Grant{}
 	s.mu.Unlock()
@@ -279,7 +293,8 @@
 		abort(ctx.Conn())
 		return
 	}
-	if refusal := s.refusal(run, deadlineOf(ctx)); refusal != "" {
+	deadline := deadlineOf(ctx)
+	if refusal := s.refusal(run, deadline); refusal != "" {
 		s.refuse(ctx, refusal)
 		return
 	}
@@ -288,10 +303,10 @@
 		s.refuse(ctx, "shed: all slots in use")
 		return
 	}
-	time.Sleep(service)
-	alive := s.waitThawed()
-	s.finish(run, alive)
-	if !alive {
+	stopped := s.work(ctx.Conn(), service, deadline)
+	s.finish(run, stopped, deadline)
+	if stopped != "" {
+		ctx.SetConnectionClose()
 		abort(ctx.Conn())
 		return
 	}
@@ -396,12 +411,20 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-func (s *Server) finish(run *Run, whole bool) {
+// finish ends a run, unless Kill ended it already.
+func (s *Server) finish(run *Run, stopped string, deadline time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !run.End.IsZero() {
+		return
+	}
 	s.inUse--
 	run.End = time.Now()
-	run.Whole = whole
+	run.Whole = stopped == ""
+	run.Stopped = stopped
+	if stopped == stoppedDeadline {
+		run.End = deadline
+	}
 }
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, why string) {
