--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,7 +29,10 @@
 	ControlAddress  string `json:"control_address"`
 	// PlatformAddress is the ip:port of the platform's service.
 	PlatformAddress string `json:"platform_address,omitempty"`
-	LogLevel        string `json:"log_level,omitempty"`
+	// Seeds are control addresses (ip:port) of other daemons, asked at a start
+	// during which the instance list cannot be read.
+	Seeds    []string `json:"seeds,omitempty"`
+	LogLevel string   `json:"log_level,omitempty"`
 	// ShutdownSeconds bounds the wait for requests in progress at the end.
 	ShutdownSeconds int `json:"shutdown_seconds,omitempty"`
 	// TestFaults opens /debug/faults on the admin address, for tests only.
@@ -120,6 +123,11 @@
 		add("shutdown_seconds", "found %d, want 1 or more", c.ShutdownSeconds)
 	}
 	c.checkListeners(add)
+	for i, seed := range c.Seeds {
+		if problem := addressProblem(seed); problem != "" {
+			add("seeds."+strconv.Itoa(i), "%s", problem)
+		}
+	}
 	c.checkPlatform(add)
 	if !knownLevel(c.LogLevel) {
 		add("log_level", "found %q, want debug, info, warn or error", c.LogLevel)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,13 +15,12 @@
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/member"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
-	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settings"
 )
 
@@ -40,39 +39,27 @@
 	assignmentPrefix = "assignment/"
 )
 
-// methodHello asks a daemon for its identity and addresses.
-const methodHello rpc.Method = "hello"
-
-// HelloRequest has no fields.
-type HelloRequest struct{}
-
 // Coordinator takes part in the control of every pool.
 type Coordinator struct {
-	config      *config.Config
-	incarnation model.Incarnation
-	loop        *control.Loop
-	network     *netx.Network
-	platform    platform.Platform
-	server      *rpc.Server
-	client      *rpc.Client
-	gate        *ownership.Gate
-	directory   *directory.Directory
-	journal     *journal.Journal
-	log         *zap.Logger
+	config    *config.Config
+	loop      *control.Loop
+	platform  platform.Platform
+	member    *member.Member
+	gate      *ownership.Gate
+	directory *directory.Directory
+	journal   *journal.Journal
+	log       *zap.Logger
 
-	daemons map[string]directory.Daemon // by control address; owned by the tick goroutine
-	cancel  context.CancelFunc
-	done    chan struct{}
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // New returns a coordinator that is not yet started.
 func New(
 	c *config.Config,
 	loop *control.Loop,
-	network *netx.Network,
 	p platform.Platform,
-	server *rpc.Server,
-	client *rpc.Client,
+	m *member.Member,
 	gate *ownership.Gate,
 	dir *directory.Directory,
 	_ *metrics.Registry,
@@ -80,21 +67,16 @@
 	log *zap.Logger,
 ) *Coordinator {
 	coordinator := &Coordinator{
-		config:      c,
-		incarnation: model.Incarnation(uuid.NewString()),
-		loop:        loop,
-		network:     network,
-		platform:    p,
-		server:      server,
-		client:      client,
-		gate:        gate,
-		directory:   dir,
-		journal:     j,
-		log:         log.Named(string(ServiceName)),
-		daemons:     map[string]directory.Daemon{},
-		done:        make(chan struct{}),
+		config:    c,
+		loop:      loop,
+		platform:  p,
+		member:    m,
+		gate:      gate,
+		directory: dir,
+		journal:   j,
+		log:       log.Named(string(ServiceName)),
+		done:      make(chan struct{}),
 	}
-	rpc.Handle(server, methodHello, coordinator.hello)
 	return coordinator
 }
 
@@ -102,16 +84,10 @@
 func (c *Coordinator) Name() kernel.Name { return ServiceName }
 
 // After implements kernel.Service.
-func (c *Coordinator) After() []kernel.Name { return []kernel.Name{"dispatcher"} }
+func (c *Coordinator) After() []kernel.Name { return []kernel.Name{member.ServiceName} }
 
 // Start implements kernel.Service.
 func (c *Coordinator) Start(context.Context) error {
-	listener, err := c.network.Listen(c.config.ControlAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for control")
-	}
-	c.config.ControlAddress = listener.Addr().String()
-	go c.server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	go c.run(ctx)
@@ -125,30 +101,12 @@
 func (c *Coordinator) Stop(context.Context) error {
 	c.cancel()
 	<-c.done
-	c.server.Close()
-	c.client.Close()
 	return nil
 }
 
 // Report implements dispatcher.EvidenceSink.
 func (c *Coordinator) Report(ownership.Evidence) {}
 
-func (c *Coordinator) self() directory.Daemon {
-	return directory.Daemon{
-		ID:          c.config.Name,
-		Incarnation: c.incarnation,
-		Zone:        c.config.Zone,
-		Control:     c.config.ControlAddress,
-		Dispatch:    c.config.DispatchAddress,
-		Admin:       c.config.AdminAddress,
-	}
-}
-
-func (c *Coordinator) hello(context.Context, *HelloRequest) (*directory.Daemon, error) {
-	self := c.self()
-	return &self, nil
-}
-
 func (c *Coordinator) run(ctx context.Context) {
 	defer close(c.done)
 	ticker := time.NewTicker(tickPeriod)
@@ -170,16 +128,9 @@
 	if err != nil {
 		return err
 	}
-	instances, err := c.platform.Instances(ctx)
-	if err != nil {
-		return errors.Wrap(err, "read instance list")
-	}
-	daemons := c.greet(ctx, instances)
-	if err := c.loop.Call(ctx, func() { c.directory.PublishDaemons(daemons) }); err != nil {
-		return err
-	}
+	members := c.member.Members()
 	for name, pool := range compiled.Pools {
-		if err := c.tickPool(ctx, name, pool, instances, daemons); err != nil {
+		if err := c.tickPool(ctx, name, pool, members.Instances, members.Daemons); err != nil {
 			return err
 		}
 	}
@@ -205,28 +156,6 @@
 	return compiled, c.loop.Call(ctx, func() { c.directory.PublishSettings(compiled) })
 }
 
-// greet asks the listed daemons that are not known yet for their addresses.
-func (c *Coordinator) greet(ctx context.Context, instances []platform.Instance) map[model.DaemonID]directory.Daemon {
-	daemons := map[model.DaemonID]directory.Daemon{c.config.Name: c.self()}
-	for _, instance := range instances {
-		if instance.Kind != platform.KindDaemon || instance.Address == c.config.ControlAddress {
-			continue
-		}
-		known, ok := c.daemons[instance.Address]
-		if !ok {
-			answer, err := rpc.Call[directory.Daemon](ctx, c.client, instance.Address, methodHello, &HelloRequest{})
-			if err != nil {
-				c.log.Info("daemon does not answer", zap.String("step", "hello"), zap.String("peer", instance.ID), zap.Error(err))
-				continue
-			}
-			known = *answer
-			c.daemons[instance.Address] = known
-		}
-		daemons[known.ID] = known
-	}
-	return daemons
-}
-
 func (c *Coordinator) tickPool(ctx context.Context, name model.PoolName, pool *settings.Pool, instances []platform.Instance, daemons map[model.DaemonID]directory.Daemon) error {
 	row, err := c.platform.Get(ctx, assignmentPrefix+string(name))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,11 +17,13 @@
 	"github.com/chicorylug/chicorylug/internal/entry"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/member"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/rpc"
+	"github.com/chicorylug/chicorylug/internal/spread"
 )
 
 // Daemon is one chicorylugd.
@@ -71,6 +73,9 @@
 func (d *Daemon) addServices() error {
 	for _, add := range []func() error{
 		func() error { return kernel.Add[*dispatcher.Dispatcher](d.kernel, dispatcher.New) },
+		func() error { return kernel.Add[*control.Listener](d.kernel, control.NewListener) },
+		func() error { return kernel.Add[*spread.Spread](d.kernel, spread.New) },
+		func() error { return kernel.Add[*member.Member](d.kernel, member.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
 		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
--- a/scenarios/cmd_fleet_test.go
+++ b/scenarios/cmd_fleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -300,8 +299,3 @@
 		ts.Fatalf("unknown action %s", args[0])
 	}
 }
-
-// logFile returns the log of a process, for failure messages.
-func (w *world) logFile(ts *testscript.TestScript, name string) string {
-	return filepath.Clean(ts.MkAbs(name + ".log"))
-}
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -251,14 +251,5 @@
 	return platform.Instance{ID: name, Kind: platform.KindDaemon, Zone: d.conf.Zone, Address: d.conf.ControlAddress}
 }
 
-// split cuts "name=value".
-func split(ts *testscript.TestScript, text, separator string) (string, string) {
-	name, value, found := strings.Cut(text, separator)
-	if !found {
-		ts.Fatalf("found %q, want NAME%sVALUE", text, separator)
-	}
-	return name, value
-}
-
 // zoneAt returns the zone of the index-th instance.
 func zoneAt(zones []model.Zone, index int) model.Zone { return zones[index%len(zones)] }
