--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
