Separate settings store and evidence board from the coordinator

Cause: two owners of code would have edited one file; the dispatcher and the coordinator would have needed each other in the container.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,8 +16,8 @@
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/member"
-	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -33,11 +33,8 @@
 	permitLength = 3 * time.Second // validity of a permit from the moment it was asked for
 )
 
-// Keys of the table.
-const (
-	settingsKey      = "settings/tree"
-	assignmentPrefix = "assignment/"
-)
+// assignmentPrefix is the prefix of the assignments' keys in the table.
+const assignmentPrefix = "assignment/"
 
 // Coordinator takes part in the control of every pool.
 type Coordinator struct {
@@ -62,7 +59,7 @@
 	m *member.Member,
 	gate *ownership.Gate,
 	dir *directory.Directory,
-	_ *metrics.Registry,
+	board *observe.Board,
 	j *journal.Journal,
 	log *zap.Logger,
 ) *Coordinator {
@@ -84,7 +81,7 @@
 func (c *Coordinator) Name() kernel.Name { return ServiceName }
 
 // After implements kernel.Service.
-func (c *Coordinator) After() []kernel.Name { return []kernel.Name{member.ServiceName} }
+func (c *Coordinator) After() []kernel.Name { return []kernel.Name{member.ServiceName, "settings"} }
 
 // Start implements kernel.Service.
 func (c *Coordinator) Start(context.Context) error {
@@ -104,9 +101,6 @@
 	return nil
 }
 
-// Report implements dispatcher.EvidenceSink.
-func (c *Coordinator) Report(ownership.Evidence) {}
-
 func (c *Coordinator) run(ctx context.Context) {
 	defer close(c.done)
 	ticker := time.NewTicker(tickPeriod)
@@ -124,9 +118,9 @@
 }
 
 func (c *Coordinator) tick(ctx context.Context) error {
-	compiled, err := c.readSettings(ctx)
-	if err != nil {
-		return err
+	compiled := c.directory.Load().Settings
+	if compiled == nil {
+		return nil
 	}
 	members := c.member.Members()
 	for name, pool := range compiled.Pools {
@@ -137,25 +131,6 @@
 	return c.loop.Call(ctx, c.applyPermits)
 }
 
-func (c *Coordinator) readSettings(ctx context.Context) (*settings.Compiled, error) {
-	row, err := c.platform.Get(ctx, settingsKey)
-	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
-	}
-	if current := c.directory.Load().Settings; current != nil && current.Version == settings.Version(row.Version) {
-		return current, nil
-	}
-	tree, err := settings.Parse(row.Value)
-	if err != nil {
-		return nil, err
-	}
-	compiled, err := settings.Compile(tree, settings.Version(row.Version))
-	if err != nil {
-		return nil, err
-	}
-	return compiled, c.loop.Call(ctx, func() { c.directory.PublishSettings(compiled) })
-}
-
 func (c *Coordinator) tickPool(ctx context.Context, name model.PoolName, pool *settings.Pool, instances []platform.Instance, daemons map[model.DaemonID]directory.Daemon) error {
 	row, err := c.platform.Get(ctx, assignmentPrefix+string(name))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,9 +20,11 @@
 	"github.com/chicorylug/chicorylug/internal/member"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/rpc"
+	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
 )
 
@@ -58,10 +60,10 @@
 		metrics.New,
 		directory.New,
 		ownership.NewGate,
+		observe.NewBoard,
 		rpc.NewServer,
 		rpc.NewClient,
 		newPlatform,
-		func(c *coordinator.Coordinator) dispatcher.EvidenceSink { return c },
 	} {
 		if err := d.kernel.Provide(constructor); err != nil {
 			return err
@@ -76,6 +78,7 @@
 		func() error { return kernel.Add[*control.Listener](d.kernel, control.NewListener) },
 		func() error { return kernel.Add[*spread.Spread](d.kernel, spread.New) },
 		func() error { return kernel.Add[*member.Member](d.kernel, member.New) },
+		func() error { return kernel.Add[*settingstore.Store](d.kernel, settingstore.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
 		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -6,13 +6,13 @@
 	"os"
 	"path/filepath"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
@@ -45,23 +45,13 @@
 	}
 	c.PlatformAddress = p.Address()
 	e := &Embedded{platform: p}
-	if err := e.acceptSettings(tree); err != nil {
+	if err := settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), tree); err != nil {
 		return nil, err
 	}
 	e.register(platform.Instance{ID: string(c.Name), Kind: platform.KindDaemon, Zone: c.Zone, Address: c.ControlAddress})
 	return e, e.startServers(c, compiled)
 }
 
-func (e *Embedded) acceptSettings(tree []byte) error {
-	client := platform.NewClient(e.platform.Address(), nil)
-	_, err := client.CompareAndSet(context.Background(), platform.Write{
-		Key:     "settings/tree",
-		Value:   tree,
-		WriteID: platform.WriteID(uuid.NewString()),
-	})
-	return errors.Wrap(err, "accept the embedded settings")
-}
-
 func (e *Embedded) register(instance platform.Instance) {
 	instance.State = platform.StateLive
 	e.platform.Register(instance)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -17,17 +17,13 @@
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 )
 
 // ServiceName is the dispatcher's name in the kernel.
 const ServiceName kernel.Name = "dispatcher"
 
-// EvidenceSink takes what the dispatcher sees of servers.
-type EvidenceSink interface {
-	Report(ownership.Evidence)
-}
-
 // Dispatcher serves entries on the dispatch address.
 type Dispatcher struct {
 	config    *config.Config
@@ -36,7 +32,7 @@
 	directory *directory.Directory
 	metrics   *metrics.Registry
 	journal   *journal.Journal
-	evidence  EvidenceSink
+	board     *observe.Board
 	log       *zap.Logger
 
 	mu      sync.Mutex
@@ -54,7 +50,7 @@
 	dir *directory.Directory,
 	registry *metrics.Registry,
 	j *journal.Journal,
-	evidence EvidenceSink,
+	board *observe.Board,
 	log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
@@ -64,7 +60,7 @@
 		directory: dir,
 		metrics:   registry,
 		journal:   j,
-		evidence:  evidence,
+		board:     board,
 		log:       log.Named(string(ServiceName)),
 		servers:   map[model.ServerRef]*server{},
 	}
@@ -104,5 +100,5 @@
 
 // report passes evidence of a server to control.
 func (d *Dispatcher) report(ref model.ServerRef, kind ownership.EvidenceKind, detail string) {
-	d.evidence.Report(ownership.Evidence{Server: ref, Kind: kind, At: time.Now(), Detail: detail})
+	d.board.Report(ownership.Evidence{Server: ref, Kind: kind, At: time.Now(), Detail: detail})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -15,6 +14,7 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
@@ -74,7 +74,7 @@
 		return nil, errors.Wrap(err, "start platform")
 	}
 	f.Platform = p
-	if err := f.acceptSettings(); err != nil {
+	if err := settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), o.Settings); err != nil {
 		return f, err
 	}
 	if err := f.startServers(); err != nil {
@@ -88,16 +88,6 @@
 	return f, nil
 }
 
-func (f *Fleet) acceptSettings() error {
-	client := platform.NewClient(f.Platform.Address(), nil)
-	_, err := client.CompareAndSet(context.Background(), platform.Write{
-		Key:     "settings/tree",
-		Value:   f.options.Settings,
-		WriteID: platform.WriteID(uuid.NewString()),
-	})
-	return errors.Wrap(err, "accept settings")
-}
-
 func (f *Fleet) startServers() error {
 	tree, err := settings.Parse(f.options.Settings)
 	if err != nil {
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -11,10 +11,10 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
@@ -93,10 +93,5 @@
 	if err != nil {
 		return errors.Wrap(err, "read the settings tree")
 	}
-	_, err = platform.NewClient(p.Address(), nil).CompareAndSet(context.Background(), platform.Write{
-		Key:     "settings/tree",
-		Value:   tree,
-		WriteID: platform.WriteID(uuid.NewString()),
-	})
-	return errors.Wrap(err, "accept the settings tree")
+	return settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), tree)
 }
