--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -53,6 +53,7 @@
 
 // Parse reads a text. The error is of type Problems.
 func Parse(file string, text []byte) (*Document, error) {
+	text = endLastLine(text)
 	value, err := hujson.Parse(text)
 	if err != nil {
 		line, column := syntaxPlace(err)
@@ -61,6 +62,14 @@
 	return &Document{file: file, text: text, value: value}, nil
 }
 
+// endLastLine ends the last line of a text: the parser wants one after a comment.
+func endLastLine(text []byte) []byte {
+	if bytes.HasSuffix(text, []byte("\n")) {
+		return text
+	}
+	return append(bytes.Clone(text), '\n')
+}
+
 // syntaxPlace reads "line N, column M" from a parser error.
 func syntaxPlace(err error) (line, column int) {
 	at := strings.Index(err.Error(), "line ")
--- a/internal/settings/compile.go
+++ b/internal/settings/compile.go
@@ -1,13 +1,11 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"slices"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
+	"github.com/chicorylug/chicorylug/internal/jsonc"
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
@@ -21,19 +19,14 @@
 	RankIndex map[model.Rank]int
 }
 
-// Parse reads a tree from JSON with comments. Unknown names are errors.
+// Parse reads a tree from JSON with comments. The error is of type
+// jsonc.Problems. The meaning is checked by Validate.
 func Parse(text []byte) (*Tree, error) {
-	standard, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return nil, errors.Wrap(err, "settings: syntax")
+	tree := &Tree{}
+	if err := jsonc.Decode("settings", text, tree); err != nil {
+		return nil, err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	var tree Tree
-	if err := decoder.Decode(&tree); err != nil {
-		return nil, errors.Wrap(err, "settings: decode")
-	}
-	return &tree, nil
+	return tree, nil
 }
 
 // Compile checks a tree, fills in defaults and returns its immutable form.
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -60,6 +60,9 @@
 	SlowStartMS int `json:"slow_start_ms,omitempty"`
 	// Targets lists servers by address. When empty, the instance list names them.
 	Targets []Target `json:"targets,omitempty"`
+	// Drain lists servers that operators take out of service: they are treated
+	// as leaving.
+	Drain []model.ServerID `json:"drain,omitempty"`
 	// Weights of the placement cost.
 	Placement *PlacementWeights `json:"placement,omitempty"`
 }
