Probe the permitted servers and report what was seen

Cause: evidence of a server came only from requests, so a silent server was never judged and a reset request counted as a lost server. Change: the dispatcher probes each permitted server that answered nothing for 100 ms, with a bound of 250 ms. Any HTTP answer counts as life, whatever the health endpoint says of itself; a failed dial is refused or timeout; a connection that ends under a request triggers a probe instead of a verdict. The draining header on any answer is evidence. Servers without a permit are forgotten and their idle connections closed.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -38,8 +38,10 @@
 	mu      sync.Mutex
 	servers map[model.ServerRef]*server
 
-	listener net.Listener
-	http     *fasthttp.Server
+	listener  net.Listener
+	http      *fasthttp.Server
+	stopWatch context.CancelFunc
+	watchDone chan struct{}
 }
 
 // New returns a dispatcher that is not yet started.
@@ -63,6 +65,7 @@
 		board:     board,
 		log:       log.Named(string(ServiceName)),
 		servers:   map[model.ServerRef]*server{},
+		watchDone: make(chan struct{}),
 	}
 }
 
@@ -87,6 +90,9 @@
 		NoDefaultDate:         true,
 	}
 	go func() { _ = d.http.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopWatch = cancel
+	go d.watch(ctx)
 	return nil
 }
 
@@ -95,6 +101,10 @@
 
 // Stop implements kernel.Service. It waits for the requests in progress.
 func (d *Dispatcher) Stop(ctx context.Context) error {
+	defer func() {
+		d.stopWatch()
+		<-d.watchDone
+	}()
 	return errors.Wrap(d.http.ShutdownWithContext(ctx), "finish requests in progress")
 }
 
--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -101,17 +101,17 @@
 	exchange, failure := s.pool.Do(attempt, request, answer)
 	result := &sent{exchange: exchange, answer: answer, ticket: ticket, cancel: cancel}
 	if failure != nil {
-		refusal := d.failed(attempt, work, failure)
+		refusal := d.failed(attempt, s, work, failure)
 		ticket.Done()
 		cancel()
 		fasthttp.ReleaseResponse(answer)
 		return nil, refusal
 	}
-	if refusal := d.notRun(work, answer); refusal != nil {
+	d.answered(s, &answer.Header, "request answered")
+	if refusal := notRun(work, answer); refusal != nil {
 		result.end()
 		return nil, refusal
 	}
-	d.report(work.Server, ownership.EvidenceHealthy, "request answered")
 	return result, nil
 }
 
@@ -129,7 +129,7 @@
 }
 
 // failed turns a failed exchange into a refusal and reports the server.
-func (d *Dispatcher) failed(attempt context.Context, work *wire.Work, failure *httplink.Failure) *reason.Error {
+func (d *Dispatcher) failed(attempt context.Context, s *server, work *wire.Work, failure *httplink.Failure) *reason.Error {
 	peer := work.Server.String()
 	var abandoned *ownership.AbandonedError
 	if errors.As(context.Cause(attempt), &abandoned) {
@@ -141,10 +141,20 @@
 	if errors.Is(failure, httplink.ErrPoolFull) {
 		return reason.New(reason.QueueFull, "connect", peer, "%v", failure)
 	}
-	d.report(work.Server, ownership.EvidenceRefused, failure.Error())
+	d.connectionFailed(s, failure)
 	return outcome(failure.Sent, reason.ServerUnreachable, peer, failure.Error())
 }
 
+// connectionFailed reports a failed connection, or probes when a connection
+// ended that had stood: a server also resets the requests that it gives up.
+func (d *Dispatcher) connectionFailed(s *server, failure *httplink.Failure) {
+	if failure.Stage == httplink.StageDial {
+		d.unanswered(s, failure)
+		return
+	}
+	d.startProbe(s)
+}
+
 func outcome(reached bool, code reason.Code, peer, message string) *reason.Error {
 	if reached {
 		return reason.NewUnknown(reason.ServerLost, "send", peer, "%s", message)
@@ -153,10 +163,7 @@
 }
 
 // notRun reads the server's own word that it did not run the request.
-func (d *Dispatcher) notRun(work *wire.Work, answer *fasthttp.Response) *reason.Error {
-	if string(answer.Header.Peek(wire.HeaderDraining)) == "1" {
-		d.report(work.Server, ownership.EvidenceDraining, "the server said so")
-	}
+func notRun(work *wire.Work, answer *fasthttp.Response) *reason.Error {
 	if string(answer.Header.Peek(wire.HeaderNotRun)) != "1" {
 		return nil
 	}
--- /dev/null
+++ b/internal/dispatcher/probe.go
@@ -0,0 +1,117 @@
+package dispatcher
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/httplink"
+	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/wire"
+)
+
+// Health probes.
+const (
+	probePeriod  = 100 * time.Millisecond // silence of a server after which it is probed
+	probeTimeout = 250 * time.Millisecond // bound of one probe
+	watchPeriod  = 50 * time.Millisecond  // time between two looks at the permitted servers
+	reportPeriod = 50 * time.Millisecond  // time between two equal reports of a healthy server
+)
+
+// watch keeps the state of the permitted servers and probes the silent ones
+// until ctx ends.
+func (d *Dispatcher) watch(ctx context.Context) {
+	defer close(d.watchDone)
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.watchServers()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) watchServers() {
+	permits := d.gate.Permits()
+	d.dropServers(permits)
+	for _, permit := range permits {
+		s, refusal := d.serverFor(permit.Server)
+		if refusal == nil && s.health.silent(time.Now()) {
+			d.startProbe(s)
+		}
+	}
+}
+
+// startProbe probes a server unless a probe is under way.
+func (d *Dispatcher) startProbe(s *server) {
+	if !s.health.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.health.probing.Store(false)
+		d.probe(s)
+	}()
+}
+
+// probe asks for the server's health. Any HTTP answer proves that the process
+// lives: what a health endpoint says of itself may lag or mislead.
+func (d *Dispatcher) probe(s *server) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	request := fasthttp.AcquireRequest()
+	answer := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(answer)
+	request.Header.SetMethod(fasthttp.MethodGet)
+	request.SetRequestURI(wire.PathHealth)
+	request.Header.SetHost(s.address)
+	exchange, failure := s.probes.Do(ctx, request, answer)
+	if failure != nil {
+		d.unanswered(s, failure)
+		return
+	}
+	d.answered(s, &answer.Header, "health endpoint answered "+strconv.Itoa(answer.StatusCode()))
+	_ = exchange.Discard()
+}
+
+// answered reports that a server answered a request or a probe.
+func (d *Dispatcher) answered(s *server, header *fasthttp.ResponseHeader, detail string) {
+	kind := ownership.EvidenceHealthy
+	if string(header.Peek(wire.HeaderDraining)) == "1" {
+		kind = ownership.EvidenceDraining
+	}
+	if s.health.answer(kind, time.Now()) {
+		d.report(s.ref, kind, detail)
+	}
+}
+
+// unanswered reports a connection that failed before the server answered.
+func (d *Dispatcher) unanswered(s *server, failure *httplink.Failure) {
+	kind := evidenceOf(failure)
+	s.health.fail(kind)
+	d.report(s.ref, kind, failure.Error())
+}
+
+// evidenceOf tells a silent server from one whose process is gone.
+func evidenceOf(failure *httplink.Failure) ownership.EvidenceKind {
+	if errors.Is(failure, syscall.ECONNREFUSED) {
+		return ownership.EvidenceRefused
+	}
+	if errors.Is(failure, context.DeadlineExceeded) || errors.Is(failure, os.ErrDeadlineExceeded) || timedOut(failure) {
+		return ownership.EvidenceTimeout
+	}
+	return ownership.EvidenceRefused
+}
+
+func timedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/httplink/link.go
+++ b/internal/httplink/link.go
@@ -266,6 +266,13 @@
 	return count, e.ended(err)
 }
 
+// Discard reads what is left of the body and ends the exchange.
+func (e *Exchange) Discard() error {
+	_, err := io.Copy(io.Discard, e)
+	_ = e.Close()
+	return err
+}
+
 func (e *Exchange) ended(err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
