--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,11 @@
 package placement
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicorylug/chicorylug/internal/model"
 )
 
 // Score returns the rendezvous weight of a candidate for a subject.
@@ -26,3 +30,8 @@
 	}
 	return best
 }
+
+// subject names a shard in rendezvous scores.
+func subject(pool model.PoolName, shard model.ShardID) string {
+	return string(pool) + "/" + strconv.Itoa(int(shard))
+}
