--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,87 @@
+package kernel_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/kernel"
+)
+
+// record lists what happened to services, in order.
+type record struct{ steps []string }
+
+type base struct {
+	name  kernel.Name
+	after []kernel.Name
+	fail  error
+	log   *record
+}
+
+func (b *base) Name() kernel.Name    { return b.name }
+func (b *base) After() []kernel.Name { return b.after }
+func (b *base) Ready() error         { return b.fail }
+func (b *base) Start(context.Context) error {
+	b.log.steps = append(b.log.steps, "start "+string(b.name))
+	return b.fail
+}
+
+func (b *base) Stop(context.Context) error {
+	b.log.steps = append(b.log.steps, "stop "+string(b.name))
+	return nil
+}
+
+type (
+	table   struct{ base }
+	routing struct{ base }
+)
+
+func build(t *testing.T, log *record, routingFails error) (*kernel.Kernel, error) {
+	k := kernel.New(zap.NewNop())
+	must.NoError(t, kernel.Add[*routing](k, func(*table) *routing {
+		return &routing{base{name: "routing", after: []kernel.Name{"table"}, fail: routingFails, log: log}}
+	}))
+	must.NoError(t, kernel.Add[*table](k, func() *table { return &table{base{name: "table", log: log}} }))
+	return k, k.Build()
+}
+
+func TestServicesStartInOrderOfNeedAndStopInReverse(t *testing.T) {
+	log := &record{}
+	k, err := build(t, log, nil)
+	must.NoError(t, err)
+	must.NoError(t, k.Start(context.Background()))
+	must.NoError(t, k.Stop(context.Background()))
+	must.Eq(t, []string{"start table", "start routing", "stop routing", "stop table"}, log.steps)
+}
+
+func TestFailedStartStopsWhatHadStarted(t *testing.T) {
+	log := &record{}
+	k, err := build(t, log, errors.New("port taken"))
+	must.NoError(t, err)
+	must.ErrorContains(t, k.Start(context.Background()), "start routing: port taken")
+	must.Eq(t, []string{"start table", "start routing", "stop table"}, log.steps)
+}
+
+func TestServicesAreFoundByNameAndTellTheirReadiness(t *testing.T) {
+	k, err := build(t, &record{}, errors.New("no assignment yet"))
+	must.NoError(t, err)
+	_, found := k.Find("routing")
+	must.True(t, found)
+	_, found = k.Find("nothing")
+	must.False(t, found)
+	must.Eq(t, []kernel.Readiness{
+		{Service: "table", Ready: true},
+		{Service: "routing", Why: "no assignment yet"},
+	}, k.Readiness())
+}
+
+func TestMissingNeedIsAnError(t *testing.T) {
+	k := kernel.New(zap.NewNop())
+	must.NoError(t, kernel.Add[*routing](k, func() *routing {
+		return &routing{base{name: "routing", after: []kernel.Name{"table"}, log: &record{}}}
+	}))
+	must.ErrorContains(t, k.Build(), "one that is missing")
+}
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -92,8 +92,11 @@
 // Address returns host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Stop closes the listener and the connections.
-func (s *Server) Stop() { _ = s.http.Shutdown() }
+// Stop closes the listener and, once idle, the connections.
+func (s *Server) Stop() {
+	_ = s.listener.Close()
+	_ = s.http.Shutdown()
+}
 
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
