--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -45,10 +45,3 @@
 	h.last = kind
 	h.answered = time.Time{}
 }
-
-// draining reports that the server's last answer said that it is leaving.
-func (h *health) draining() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.last == ownership.EvidenceDraining
-}
