experiment: path and placement, with tables, plots and JSON

chicorylug experiment NAME runs a bounded, seeded measurement on loopback. path sends the same open-loop load directly and through entry and dispatchers; processor time is the difference of the two. placement gives each strategy the same trace of arrivals, losses, rolling replacement and moving hot keys. The stand-in server can discard its record for long runs (small change in the dispatch owner's package).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -91,7 +91,10 @@
 func addCommands(parser *flags.Parser, global *Global) error {
 	_, err := parser.AddCommand("status", "Show a daemon and its view of the fleet",
 		"Shows a daemon and its view of the fleet.\n\nExample: chicorylug status --admin 127.0.0.1:8081", &statusCommand{global: global})
-	return err
+	if err != nil {
+		return err
+	}
+	return addExperiment(parser, global)
 }
 
 // printJSON prints a value as indented JSON.
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,187 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Name names an experiment.
+type Name string
+
+// Options describe one run.
+type Options struct {
+	Deployment DeploymentName
+	Seed       uint64
+	// Daemons is the number of daemons; zero takes the experiment's own.
+	Daemons int
+	// Duration bounds each measured phase; zero takes the experiment's own.
+	Duration time.Duration
+	// Progress is told each step; nil when nobody watches.
+	Progress func(step string)
+}
+
+func (o *Options) progress(format string, args ...any) {
+	if o.Progress != nil {
+		o.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+func (o *Options) daemons(usual int) int {
+	if o.Daemons > 0 {
+		return o.Daemons
+	}
+	return usual
+}
+
+func (o *Options) duration(usual time.Duration) time.Duration {
+	if o.Duration > 0 {
+		return o.Duration
+	}
+	return usual
+}
+
+// Limits of a run.
+const (
+	MaxDaemons  = 200
+	MaxDuration = 2 * time.Minute // of one phase
+)
+
+// Experiment is one kind of measurement.
+type Experiment struct {
+	Name        Name
+	Description string
+	run         func(ctx context.Context, o Options, r *Report) error
+}
+
+// All lists the experiments.
+func All() []Experiment {
+	return []Experiment{
+		{"path", "added latency and processor time of entry and dispatcher against a direct call", runPath},
+		{"placement", "imbalance, churn and unavailable time of placement against baselines", runPlacement},
+	}
+}
+
+// Run runs the named experiment.
+func Run(ctx context.Context, name Name, o Options) (*Report, error) {
+	if o.Daemons < 0 || o.Daemons > MaxDaemons {
+		return nil, errors.Errorf("daemons: found %d, want 1 to %d", o.Daemons, MaxDaemons)
+	}
+	if o.Duration < 0 || o.Duration > MaxDuration {
+		return nil, errors.Errorf("duration: found %s, want at most %s", o.Duration, MaxDuration)
+	}
+	all := All()
+	index := slices.IndexFunc(all, func(e Experiment) bool { return e.Name == name })
+	if index < 0 {
+		return nil, errors.Errorf("no experiment %q, want one of %s", name, strings.Join(names(all), ", "))
+	}
+	report := newReport(name, o)
+	err := all[index].run(ctx, o, report)
+	return report, errors.Wrapf(err, "experiment %s", name)
+}
+
+func names(all []Experiment) []string {
+	var list []string
+	for _, e := range all {
+		list = append(list, string(e.Name))
+	}
+	return list
+}
+
+// Report is the result of a run.
+type Report struct {
+	Experiment Name           `json:"experiment"`
+	Deployment DeploymentName `json:"deployment"`
+	Seed       uint64         `json:"seed"`
+	Processors int            `json:"processors"`
+	// LoadAverage is the machine's load in the last minute before the run; empty when unknown.
+	LoadAverage string   `json:"load_average,omitempty"`
+	Tables      []*Table `json:"tables"`
+	Notes       []string `json:"notes,omitempty"`
+	Figure      *Figure  `json:"figure,omitempty"`
+}
+
+// Table is one table of figures.
+type Table struct {
+	Title  string     `json:"title"`
+	Header []string   `json:"header"`
+	Rows   [][]string `json:"rows"`
+}
+
+// Figure is what a plot shows.
+type Figure struct {
+	Title  string `json:"title"`
+	X      string `json:"x"`
+	Y      string `json:"y"`
+	Series []Line `json:"series"`
+}
+
+// Line is one line of a figure.
+type Line struct {
+	Name string    `json:"name"`
+	X    []float64 `json:"x"`
+	Y    []float64 `json:"y"`
+}
+
+func newReport(name Name, o Options) *Report {
+	return &Report{
+		Experiment:  name,
+		Deployment:  o.Deployment,
+		Seed:        o.Seed,
+		Processors:  runtime.NumCPU(),
+		LoadAverage: loadAverage(),
+	}
+}
+
+// loadAverage returns the machine's load of the last minute, or "".
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	return first
+}
+
+func (r *Report) table(title string, header ...string) *Table {
+	t := &Table{Title: title, Header: header}
+	r.Tables = append(r.Tables, t)
+	return t
+}
+
+func (r *Report) note(format string, args ...any) {
+	r.Notes = append(r.Notes, fmt.Sprintf(format, args...))
+}
+
+// add appends a row; floats are printed with three significant digits or more.
+func (t *Table) add(values ...any) {
+	row := make([]string, 0, len(values))
+	for _, value := range values {
+		row = append(row, text(value))
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+func text(value any) string {
+	switch v := value.(type) {
+	case float64:
+		return float(v)
+	case time.Duration:
+		return fmt.Sprintf("%.2f ms", float64(v)/float64(time.Millisecond))
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func float(v float64) string {
+	if v >= 1000 || v <= -1000 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
--- /dev/null
+++ b/internal/experiment/path.go
@@ -0,0 +1,140 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/fleet"
+	"github.com/chicorylug/chicorylug/internal/settings"
+)
+
+const (
+	pathDaemons  = 4
+	pathDuration = 4 * time.Second // of one phase
+	pathTimeout  = 5 * time.Second
+	pathKeys     = 10_000
+	pathWarmUp   = time.Second
+	pathRoute    = "/experiment/path/"
+)
+
+// pathRates are the offered loads, in requests a second.
+var pathRates = []float64{500, 1000, 2000, 4000, 6000, 8000, 12000}
+
+// phase is the result of one stretch of load.
+type phase struct {
+	latencies *latencies
+	failed    atomic.Int64
+	processor time.Duration
+}
+
+func (p *phase) perRequest() time.Duration {
+	return p.processor / time.Duration(max(1, p.latencies.count()))
+}
+
+// runPath sends the same load to the stand-ins directly and through one entry
+// and the dispatchers. Client and stand-ins cost the same in both, so that the
+// difference of processor time is what entry and dispatcher use.
+func runPath(ctx context.Context, o Options, r *Report) error {
+	d, err := loadDeployment(o.Deployment)
+	if err != nil {
+		return err
+	}
+	d.addRoute(&settings.Route{
+		Name: "experiment-path", Methods: []string{"GET"}, Path: pathRoute + "{key}", Rank: d.tree.Fleet.Ranks[0].Name,
+	})
+	options, err := d.fleetOptions(0)
+	if err != nil {
+		return err
+	}
+	options.ZoneDelay = 0
+	options.UnlimitedSlots = true
+	options.DiscardRuns = true
+	f, err := fleet.Start(options)
+	if f != nil {
+		defer f.Close()
+	}
+	if err != nil {
+		return err
+	}
+	before := memoryInUse()
+	count := o.daemons(pathDaemons)
+	if err := startDaemons(ctx, f, count); err != nil {
+		return err
+	}
+	perDaemon := (memoryInUse() - before) / float64(count)
+	r.note("memory at rest: %s MB of heap and stacks for each of %d daemons, %d servers", float(perDaemon/megabyte), count, len(f.Servers))
+	return measurePath(ctx, o, r, f, d)
+}
+
+// startDaemons adds daemons and waits until all are ready.
+func startDaemons(ctx context.Context, f *fleet.Fleet, count int) error {
+	for range count {
+		if _, err := f.AddDaemon(); err != nil {
+			return err
+		}
+	}
+	return waitReady(ctx, f)
+}
+
+const readyTimeout = 90 * time.Second
+
+func waitReady(ctx context.Context, f *fleet.Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return f.WaitReady(ctx)
+}
+
+func measurePath(ctx context.Context, o Options, r *Report, f *fleet.Fleet, d *deployment) error {
+	var direct []string
+	for _, server := range f.Servers {
+		if server.Pool() == d.keyed {
+			direct = append(direct, server.Address())
+		}
+	}
+	routed := []string{f.Nodes[0].CallerAddress()}
+	duration := o.duration(pathDuration)
+	_ = pathPhase(ctx, arrivals{rate: pathRates[0], duration: pathWarmUp, seed: o.Seed}, direct)
+	_ = pathPhase(ctx, arrivals{rate: pathRates[0], duration: pathWarmUp, seed: o.Seed}, routed)
+	t := r.table("Direct call against one entry and the dispatchers, answers of 200 bytes at most",
+		"offered/s", "direct p50", "direct p99", "routed p50", "routed p99", "added p50", "added p99", "added CPU us/request", "requests/s per core", "failed")
+	line := Line{Name: "added p99"}
+	for _, rate := range pathRates {
+		o.progress("path at %.0f requests a second", rate)
+		load := arrivals{rate: rate, duration: duration, seed: o.Seed}
+		plain := pathPhase(ctx, load, direct)
+		through := pathPhase(ctx, load, routed)
+		added := through.perRequest() - plain.perRequest()
+		p50 := through.latencies.quantile(50) - plain.latencies.quantile(50)
+		p99 := through.latencies.quantile(99) - plain.latencies.quantile(99)
+		t.add(rate, plain.latencies.quantile(50), plain.latencies.quantile(99),
+			through.latencies.quantile(50), through.latencies.quantile(99), p50, p99,
+			fmt.Sprintf("%.1f", float64(added)/float64(time.Microsecond)), float64(time.Second)/float64(max(1, added)),
+			plain.failed.Load()+through.failed.Load())
+		line.X = append(line.X, rate)
+		line.Y = append(line.Y, float64(p99)/float64(time.Millisecond))
+	}
+	r.Figure = &Figure{Title: "Added latency of entry and dispatcher", X: "requests a second", Y: "ms", Series: []Line{line}}
+	r.note("processor time is that of the whole process, routed minus direct: entry plus dispatcher, their part of garbage collection included")
+	r.note("no delay between zones is emulated; all runs in one process, and other work on the machine adds to the latencies")
+	return ctx.Err()
+}
+
+// pathPhase sends the load to the addresses in turn.
+func pathPhase(ctx context.Context, load arrivals, addresses []string) *phase {
+	p := &phase{latencies: newLatencies()}
+	c := newCaller(pathTimeout)
+	start := processorTime()
+	load.run(ctx, func(number int, intended time.Time) {
+		path := fmt.Sprintf("%sk%d", pathRoute, number%pathKeys)
+		if !c.get(addresses[number%len(addresses)], path).ok {
+			p.failed.Add(1)
+			return
+		}
+		p.latencies.add(time.Since(intended))
+	})
+	p.processor = processorTime() - start
+	c.client.CloseIdleConnections()
+	return p
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,7 +42,11 @@
 	Servers []PoolServers
 	// ZoneDelay is the one-way delay between different zones.
 	ZoneDelay time.Duration
-	Log       *zap.Logger
+	// UnlimitedSlots lets the servers run any number of requests at one time.
+	UnlimitedSlots bool
+	// DiscardRuns keeps no record of what the servers ran.
+	DiscardRuns bool
+	Log         *zap.Logger
 }
 
 // Fleet is a running fleet.
@@ -113,15 +117,20 @@
 
 func (f *Fleet) startServer(wanted PoolServers, pool *settings.Pool, number int) error {
 	zone := f.zone(number - 1)
+	slots := pool.Slots
+	if f.options.UnlimitedSlots {
+		slots = 0
+	}
 	server, err := backend.Start(backend.Options{
 		ID:           model.ServerID(fmt.Sprintf("%s-%d", wanted.Pool, number)),
 		Pool:         wanted.Pool,
 		Zone:         zone,
 		Address:      anyPort,
-		Slots:        pool.Slots,
+		Slots:        slots,
 		ServiceMS:    wanted.ServiceMS,
 		BodyBytes:    wanted.BodyBytes,
 		ChecksGrants: pool.ChecksGrants,
+		DiscardRuns:  f.options.DiscardRuns,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start server")
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -31,6 +31,8 @@
 	ServiceMS    float64        `json:"service_ms"`
 	BodyBytes    int            `json:"body_bytes"`
 	ChecksGrants bool           `json:"checks_grants"`
+	// DiscardRuns keeps no record of finished runs, for long measurements.
+	DiscardRuns bool `json:"discard_runs,omitempty"`
 }
 
 // Faults are switched on by tests. The zero value is a healthy server.
@@ -151,6 +153,9 @@
 // Address returns host:port of the request listener.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Pool returns the server's pool.
+func (s *Server) Pool() model.PoolName { return s.options.Pool }
+
 // ID returns the server's name.
 func (s *Server) ID() model.ServerID { return s.options.ID }
 
@@ -395,7 +400,9 @@
 	s.maxInUse = max(s.maxInUse, s.inUse)
 	run.InUse = s.inUse
 	run.Start = time.Now()
-	s.runs = append(s.runs, run)
+	if !s.options.DiscardRuns {
+		s.runs = append(s.runs, run)
+	}
 	return s.serviceTime(), true
 }
 
