entry: run non-repeatable requests at most once, own the whole answer

Cause: an entry forwarded every request as it came. A resend of a sealing request to another entry ran again, a short or altered answer of known length could end cleanly, and callers could send the daemons' own headers.

Change: a route with repeat "once" needs an Idempotency-Key. The request is claimed in the table by insert-if-absent before it is dispatched (2 writes a request, 1 more when it expires) and its outcome is recorded before the caller sees it; small answers in the row, up to 1 MiB in the object store. Repeats get the recorded answer, in_progress, outcome_unknown or answer_not_kept. Nobody takes a claim over; only its holder releases it, when the request did not run. Bodies pass through a reader that withholds their last bytes until length and digest are verified, in both directions. Small answers are read whole first. Retries that can add load to servers are bounded by a budget per pool and rank. Each rank has its own bound of requests, buffers and connections at an entry. Requests of callers that are gone are cancelled. Paths that a server could read differently from the router are refused.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/admin"
+	"github.com/chicorylug/chicorylug/internal/claim"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/control"
 	"github.com/chicorylug/chicorylug/internal/coordinator"
@@ -64,6 +65,7 @@
 		rpc.NewServer,
 		rpc.NewClient,
 		newPlatform,
+		claim.New,
 	} {
 		if err := d.kernel.Provide(constructor); err != nil {
 			return err
@@ -80,6 +82,7 @@
 		func() error { return kernel.Add[*member.Member](d.kernel, member.New) },
 		func() error { return kernel.Add[*settingstore.Store](d.kernel, settingstore.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
+		func() error { return kernel.Add[*claim.Sweeper](d.kernel, claim.NewSweeper) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
 		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
 	} {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,25 +3,31 @@
 import (
 	"context"
 	"net"
-	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/chicorylug/chicorylug/internal/claim"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/directory"
-	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/retry"
 )
 
 // ServiceName is the entry's name in the kernel.
 const ServiceName kernel.Name = "entry"
 
-const linksPerDispatcher = 1024 // connections to one dispatcher
+const (
+	maxHeaderBytes = 64 * 1024       // headers of a caller's request
+	idleTimeout    = 2 * time.Minute // a caller's connection without a request is closed after this
+	balancerGrace  = time.Second     // time in which the balancer learns that the daemon is leaving
+)
 
 // Entry serves callers on the caller address.
 type Entry struct {
@@ -30,12 +36,19 @@
 	directory *directory.Directory
 	metrics   *metrics.Registry
 	journal   *journal.Journal
+	claims    *claim.Store
 	log       *zap.Logger
-	routes    routeTable
 
-	mu    sync.Mutex
-	links map[string]*httplink.Pool
+	routes    routeTable
+	links     *links
+	servers   *serverLoads
+	budgets   *retry.Budgets
+	admission admission
+	watch     *callerWatch
+	ids       *idSource
+	sample    atomic.Uint64
 
+	leaving  atomic.Bool
 	listener net.Listener
 	http     *fasthttp.Server
 }
@@ -47,6 +60,7 @@
 	dir *directory.Directory,
 	registry *metrics.Registry,
 	j *journal.Journal,
+	claims *claim.Store,
 	log *zap.Logger,
 ) *Entry {
 	return &Entry{
@@ -55,8 +69,13 @@
 		directory: dir,
 		metrics:   registry,
 		journal:   j,
+		claims:    claims,
 		log:       log.Named(string(ServiceName)),
-		links:     map[string]*httplink.Pool{},
+		links:     newLinks(network.Dial),
+		servers:   newServerLoads(),
+		budgets:   retry.NewBudgets(),
+		watch:     newCallerWatch(),
+		ids:       newIDSource(),
 	}
 }
 
@@ -75,17 +94,32 @@
 	e.listener = listener
 	e.config.CallerAddress = listener.Addr().String()
 	e.http = &fasthttp.Server{
-		Handler:               e.handle,
-		StreamRequestBody:     true,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
+		Handler:                      e.handle,
+		ReadBufferSize:               maxHeaderBytes,
+		IdleTimeout:                  idleTimeout,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       quietLogger{},
 	}
+	e.metrics.Func("entry_in_progress", func() any { return e.admission.inProgress() })
+	e.watch.start()
 	go func() { _ = e.http.Serve(listener) }()
 	return nil
 }
 
+// quietLogger drops fasthttp's own lines about callers' connections.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
 // Ready implements kernel.Service.
 func (e *Entry) Ready() error {
+	if e.leaving.Load() {
+		return errors.New("shutting down")
+	}
 	snapshot := e.directory.Load()
 	if snapshot.Settings == nil {
 		return errors.New("no settings in force")
@@ -98,19 +132,28 @@
 	return nil
 }
 
-// Stop implements kernel.Service. It waits for the requests in progress.
-func (e *Entry) Stop(ctx context.Context) error {
-	return errors.Wrap(e.http.ShutdownWithContext(ctx), "finish requests in progress")
+// Drain implements kernel.Drainer. For a short time callers are still accepted,
+// each answer closing its connection, so that the balancer learns of it without
+// losing requests. Then the requests in progress are finished.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.leaving.Store(true)
+	select {
+	case <-time.After(balancerGrace):
+	case <-ctx.Done():
+	}
+	err := e.http.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
+	}
+	cut := e.admission.total()
+	e.log.Error("requests cut off", zap.String("step", "drain"), zap.Int64("requests", cut), zap.Error(err))
+	return errors.Wrapf(err, "finish requests in progress: %d were cut off", cut)
 }
 
-// link returns the connections to a dispatcher.
-func (e *Entry) link(address string) *httplink.Pool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	pool, ok := e.links[address]
-	if !ok {
-		pool = httplink.NewPool(address, linksPerDispatcher, e.network.Dial)
-		e.links[address] = pool
-	}
-	return pool
+// Stop implements kernel.Service.
+func (e *Entry) Stop(ctx context.Context) error {
+	err := e.http.ShutdownWithContext(ctx)
+	e.watch.stop()
+	e.links.close()
+	return errors.Wrap(err, "close the caller address")
 }
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -2,75 +2,117 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"strconv"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
-	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/settings"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
-// Pauses between attempts.
-const (
-	backoffFirst = 5 * time.Millisecond
-	backoffLimit = 200 * time.Millisecond
-)
-
-// maxReplayBytes is the size up to which a body is held so that it can be sent again.
-const maxReplayBytes = 64 * 1024
+const traceEvery = 256 // one in so many ordinary requests is traced
+
+// call is one request of a caller while the entry works on it.
+type call struct {
+	entry    *Entry
+	ctx      *fasthttp.RequestCtx
+	found    *match
+	work     *wire.Work
+	upload   *upload
+	reserved int64 // bytes of buffers taken from the rank
+
+	// context ends at the deadline, and early when the caller is gone.
+	context context.Context
+	cancel  context.CancelFunc
+	streams bool // the answer's body is read after the handler returned
+}
 
 // handle serves one request of a caller.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
-	request := model.RequestID(uuid.NewString())
-	ctx.Request.Header.Set(wire.HeaderRequestID, string(request))
-	refusal := e.serve(ctx, request)
-	ctx.Response.Header.Set(wire.HeaderRequestID, string(request))
+	id := e.ids.next()
+	closing := ctx.Request.Header.ConnectionClose() || e.leaving.Load()
+	answeredAs, refusal := e.serve(ctx, id)
 	if refusal != nil {
-		refusal.RequestID = request
+		refusal.RequestID = id
 		e.refuse(ctx, refusal)
+		answeredAs = id
+	}
+	ctx.Response.Header.Set(wire.HeaderRequestID, string(answeredAs))
+	if closing {
+		ctx.SetConnectionClose()
 	}
 }
 
+// refuse answers with a refusal.
 func (e *Entry) refuse(ctx *fasthttp.RequestCtx, refusal *reason.Error) {
 	e.metrics.Refused(refusal.Code)
 	e.journal.Trace(journal.Step{Request: refusal.RequestID, Step: "entry: refused", Detail: refusal.Error()})
-	ctx.Response.ResetBody()
+	if refusal.RetryAfter == 0 {
+		refusal.RetryAfter = refusal.Code.RetryAfter()
+	}
+	ctx.Response.Reset()
 	ctx.SetStatusCode(refusal.Code.Status())
 	ctx.SetContentType("application/json")
 	ctx.Response.Header.Set(wire.HeaderReason, string(refusal.Code))
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
 	ctx.SetBody(refusal.JSON())
 }
 
-// serve finds the route and forwards the request until it is answered, may not
-// be sent again, or its deadline has passed.
-func (e *Entry) serve(ctx *fasthttp.RequestCtx, request model.RequestID) *reason.Error {
+// serve finds the route, admits the request and forwards it. It returns the
+// id of the request whose answer was set.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, id model.RequestID) (model.RequestID, *reason.Error) {
 	snapshot := e.directory.Load()
 	if snapshot.Settings == nil {
-		return reason.New(reason.NotReady, "route", "", "no settings in force")
+		return id, reason.New(reason.NotReady, "route", "", "no settings in force")
 	}
-	found := e.routes.find(ctx, snapshot.Settings)
+	found, refusal := e.route(ctx, snapshot.Settings)
+	if refusal != nil {
+		return id, refusal
+	}
+	rank := e.admission.rank(found.rank)
+	if refusal := rank.enter(); refusal != nil {
+		return id, refusal
+	}
+	c := e.newCall(ctx, found, id)
+	answeredAs, refusal := c.run()
+	if !c.streams {
+		c.end()
+	}
+	return answeredAs, refusal
+}
+
+// cut counts an answer that was cut off on its way to the caller.
+func (e *Entry) cut(c *call, cause *reason.Error) {
+	e.metrics.Refused(cause.Code)
+	e.journal.Trace(journal.Step{Request: c.work.Request, Step: "entry: answer cut off", Detail: cause.Error()})
+}
+
+// route checks what the caller wrote and finds its route.
+func (e *Entry) route(ctx *fasthttp.RequestCtx, compiled *settings.Compiled) (*match, *reason.Error) {
+	if !ctx.Request.Header.IsHTTP11() {
+		return nil, badRequest("HTTP/1.1 is needed")
+	}
+	if err := checkPath(pathOf(ctx.Request.Header.RequestURI())); err != nil {
+		return nil, badRequest("%v", err)
+	}
+	found := e.routes.find(ctx, compiled)
 	if found == nil {
-		return noRoute(ctx)
+		return nil, noRoute(ctx)
 	}
 	if found.pool.Keyed && found.key == "" {
-		return reason.New(reason.KeyMissing, "route", string(found.route.Name), "the path names no key")
+		return nil, reason.New(reason.KeyMissing, "route", string(found.route.Name), "the path names no key")
 	}
-	work := &wire.Work{
-		Request:     request,
-		Route:       found.route.Name,
-		Server:      model.ServerRef{Pool: found.route.Pool},
-		Rank:        found.route.Rank,
-		Key:         found.key,
-		Idempotency: string(ctx.Request.Header.Peek(wire.HeaderIdempotencyKey)),
-		Deadline:    time.Now().Add(found.route.Timeout()),
+	if err := checkKey(found.key); err != nil {
+		return nil, badRequest("%v", err)
 	}
-	return e.attempts(ctx, work)
+	return found, nil
 }
 
 func noRoute(ctx *fasthttp.RequestCtx) *reason.Error {
@@ -80,121 +122,113 @@
 	return reason.New(reason.NoRoute, "route", "", "no route for %s %s", ctx.Method(), ctx.Path())
 }
 
-func (e *Entry) attempts(ctx *fasthttp.RequestCtx, work *wire.Work) *reason.Error {
-	replay := bodyFits(ctx)
-	pause := backoffFirst
-	for {
-		refusal := e.attempt(ctx, work, replay)
-		if refusal == nil || !replay || !retryable(refusal) {
-			return refusal
-		}
-		if time.Until(work.Deadline) < pause {
-			return refusal
-		}
-		e.metrics.Retried(refusal.Code)
-		time.Sleep(pause/2 + rand.N(pause/2))
-		pause = min(2*pause, backoffLimit)
+func (e *Entry) newCall(ctx *fasthttp.RequestCtx, found *match, id model.RequestID) *call {
+	c := &call{entry: e, ctx: ctx, found: found}
+	c.work = &wire.Work{
+		Request:     id,
+		Route:       found.route.Name,
+		Server:      model.ServerRef{Pool: found.route.Pool},
+		Rank:        found.route.Rank,
+		Key:         found.key,
+		Once:        found.route.Repeat == settings.Once,
+		Idempotency: string(ctx.Request.Header.Peek(wire.HeaderIdempotencyKey)),
+		Deadline:    time.Now().Add(found.route.Timeout()),
+		Trace:       e.traced(ctx),
 	}
+	return c
 }
 
-// bodyFits reads a small body into memory and reports whether it can be sent again.
-func bodyFits(ctx *fasthttp.RequestCtx) bool {
-	length := ctx.Request.Header.ContentLength()
-	if length < 0 || length > maxReplayBytes {
-		return length < 0 && ctx.RequestBodyStream() == nil
-	}
-	_ = ctx.PostBody()
-	return true
+// traced reports that the steps of a request are kept: the caller asked for it,
+// or it is one of the sample.
+func (e *Entry) traced(ctx *fasthttp.RequestCtx) bool {
+	return e.sample.Add(1)%traceEvery == 0 || string(ctx.Request.Header.Peek(wire.HeaderTrace)) == "1"
 }
 
-// retryable reports that the request did not run and another attempt may find its owner.
-func retryable(refusal *reason.Error) bool {
-	if refusal.Outcome != reason.NotRun {
-		return false
-	}
-	switch refusal.Code {
-	case reason.WrongEpoch, reason.ShardMoving, reason.NotDispatcher, reason.PermitExpired,
-		reason.NoOwner, reason.ServerDraining, reason.ServerUnreachable, reason.DispatcherLost:
-		return true
-	default:
-		return false
-	}
+// run checks the rest of the request, watches the caller and forwards.
+func (c *call) run() (model.RequestID, *reason.Error) {
+	if refusal := c.checkIdempotency(); refusal != nil {
+		return c.work.Request, refusal
+	}
+	if refusal := c.readUpload(); refusal != nil {
+		return c.work.Request, refusal
+	}
+	cleanRequest(&c.ctx.Request.Header)
+	watched, gone := context.WithCancelCause(context.Background())
+	deadline, cancel := context.WithDeadline(watched, c.work.Deadline)
+	c.context = deadline
+	c.cancel = func() { cancel(); gone(nil) }
+	if c.work.Once {
+		return c.runOnce()
+	}
+	call := c.entry.watch.add(c.ctx.Conn(), gone)
+	defer c.entry.watch.remove(call)
+	return c.work.Request, c.attempts()
 }
 
-// attempt sends the request once, under the assignment of this moment.
-func (e *Entry) attempt(ctx *fasthttp.RequestCtx, work *wire.Work, replay bool) *reason.Error {
-	dispatcher, refusal := e.target(work)
-	if refusal != nil {
-		return refusal
+func (c *call) checkIdempotency() *reason.Error {
+	if err := checkIdempotencyKey(c.work.Idempotency); err != nil {
+		return badRequest("%v", err)
 	}
-	forwarded := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(forwarded)
-	ctx.Request.Header.CopyTo(&forwarded.Header)
-	work.Write(&forwarded.Header)
-	forwarded.UseHostHeader = true
-	if replay {
-		forwarded.SetBodyRaw(ctx.PostBody())
-	} else {
-		forwarded.SetBodyStream(ctx.RequestBodyStream(), ctx.Request.Header.ContentLength())
+	if len(c.ctx.Request.Header.PeekAll(wire.HeaderIdempotencyKey)) > 1 {
+		return badRequest("more than one %s", wire.HeaderIdempotencyKey)
 	}
-	return e.forward(ctx, work, dispatcher, forwarded)
-}
-
-// target chooses server and dispatcher and completes the work.
-func (e *Entry) target(work *wire.Work) (*ownership.Dispatcher, *reason.Error) {
-	assignment := e.directory.Load().Pools[work.Server.Pool]
-	if assignment == nil {
-		return nil, reason.New(reason.NoOwner, "route", string(work.Server.Pool), "the pool has no assignment yet")
-	}
-	work.Term = assignment.Term
-	work.Shard = assignment.ShardOf(work.Key)
-	server := chooseServer(assignment, work)
-	if server == nil || server.Active() == nil {
-		return nil, reason.New(reason.NoOwner, "route", string(work.Server.Pool), "no server owns the key now")
+	if c.work.Once && c.work.Idempotency == "" {
+		return reason.New(reason.IdempotencyMissing, "check", string(c.found.route.Name),
+			"the route runs requests at most once and needs the header %s", wire.HeaderIdempotencyKey)
 	}
-	work.Server.Server = server.ID
-	return server.Active(), nil
+	return nil
 }
 
-func chooseServer(assignment *ownership.Assignment, work *wire.Work) *ownership.Server {
-	if shard, ok := assignment.Shard(work.Shard); ok {
-		work.Epoch = shard.Epoch
-		return assignment.Server(shard.Server)
+// readUpload takes buffer space and reads the body as far as it is held.
+func (c *call) readUpload() *reason.Error {
+	held := int64(c.ctx.Request.Header.ContentLength())
+	if held == unknownLength {
+		held = maxReplayBytes
 	}
-	var usable []*ownership.Server
-	for i := range assignment.Servers {
-		if assignment.Servers[i].State == ownership.ServerActive {
-			usable = append(usable, &assignment.Servers[i])
+	if held > 0 && held <= maxReplayBytes {
+		if refusal := c.reserve(held); refusal != nil {
+			return refusal
 		}
 	}
-	if len(usable) == 0 {
-		return nil
-	}
-	return usable[rand.IntN(len(usable))]
+	upload, refusal := readUpload(c.ctx, c.found.route, c.work.Deadline)
+	c.upload = upload
+	return refusal
 }
 
-func (e *Entry) forward(ctx *fasthttp.RequestCtx, work *wire.Work, dispatcher *ownership.Dispatcher, forwarded *fasthttp.Request) *reason.Error {
-	attempt, cancel := context.WithDeadline(context.Background(), work.Deadline)
-	answer := fasthttp.AcquireResponse()
-	exchange, failure := e.link(dispatcher.Dispatch).Do(attempt, forwarded, answer)
-	if failure != nil {
-		cancel()
-		fasthttp.ReleaseResponse(answer)
-		return forwardFailure(dispatcher, failure)
-	}
-	body := &relay{exchange: exchange, answer: answer, cancel: cancel}
-	if len(answer.Header.Peek(wire.HeaderReason)) > 0 {
-		return body.refusal(dispatcher)
+// reserve takes buffer space until the end of the call.
+func (c *call) reserve(bytes int64) *reason.Error {
+	if refusal := c.entry.admission.rank(c.found.rank).reserve(bytes); refusal != nil {
+		return refusal
 	}
-	answer.Header.CopyTo(&ctx.Response.Header)
-	ctx.Response.SetBodyStream(body, exchange.Length())
+	c.reserved += bytes
 	return nil
 }
 
-func forwardFailure(dispatcher *ownership.Dispatcher, failure *httplink.Failure) *reason.Error {
-	peer := string(dispatcher.Daemon)
-	if failure.Sent {
-		return reason.NewUnknown(reason.DispatcherLost, "forward", peer, "%v", failure)
+// release gives buffer space back before the end of the call.
+func (c *call) release(bytes int64) {
+	c.reserved -= bytes
+	c.entry.admission.rank(c.found.rank).free(bytes)
+}
+
+// end gives back what the call took.
+func (c *call) end() {
+	if c.cancel != nil {
+		c.cancel()
 	}
-	return reason.New(reason.DispatcherLost, "forward", peer, "%v", failure)
+	rank := c.entry.admission.rank(c.found.rank)
+	rank.free(c.reserved)
+	rank.leave()
+}
+
+func (c *call) trace(step, detail string) {
+	if !c.work.Trace {
+		return
+	}
+	c.entry.journal.Trace(journal.Step{
+		Request: c.work.Request,
+		Pool:    c.work.Server.Pool,
+		Key:     c.work.Key,
+		Step:    "entry: " + step,
+		Detail:  detail,
+	})
 }
--- /dev/null
+++ b/internal/entry/ids.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+const idPrefixBytes = 10 // random bytes that tell processes apart
+
+// idSource draws request ids that are unique over all daemons and their restarts.
+type idSource struct {
+	prefix string
+	count  atomic.Uint64
+}
+
+func newIDSource() *idSource {
+	var prefix [idPrefixBytes]byte
+	_, _ = rand.Read(prefix[:])
+	return &idSource{prefix: hex.EncodeToString(prefix[:]) + "-"}
+}
+
+func (s *idSource) next() model.RequestID {
+	return model.RequestID(s.prefix + strconv.FormatUint(s.count.Add(1), 36))
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -13,12 +13,18 @@
 // keyParameter is the name under which path patterns capture the key.
 const keyParameter = "key"
 
-// match is a caller's request that found its route.
-type match struct {
+// target is a route with what belongs to it.
+type target struct {
 	route *settings.Route
 	pool  *settings.Pool
+	team  model.TeamName
 	rank  int
-	key   model.Key
+}
+
+// match is a caller's request that found its route.
+type match struct {
+	*target
+	key model.Key
 }
 
 // routeTable finds routes. It is rebuilt when other settings come into force.
@@ -51,8 +57,14 @@
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
 	r.HandleOPTIONS = false
+	teams := teamsOfPools(compiled)
 	for _, route := range compiled.Routes {
-		handler := leaveMatch(route, compiled)
+		handler := leaveMatch(&target{
+			route: route,
+			pool:  compiled.Pools[route.Pool],
+			team:  teams[route.Pool],
+			rank:  compiled.RankIndex[route.Rank],
+		})
 		for _, method := range route.Methods {
 			r.Handle(method, route.Path, handler)
 		}
@@ -60,11 +72,20 @@
 	return &compiledRoutes{settings: compiled, handler: r.Handler}
 }
 
-func leaveMatch(route *settings.Route, compiled *settings.Compiled) fasthttp.RequestHandler {
-	pool := compiled.Pools[route.Pool]
-	rank := compiled.RankIndex[route.Rank]
+// teamsOfPools returns the team of each pool. A route's pool is of its own team.
+func teamsOfPools(compiled *settings.Compiled) map[model.PoolName]model.TeamName {
+	teams := map[model.PoolName]model.TeamName{}
+	for name, team := range compiled.Tree.Teams {
+		for pool := range team.Pools {
+			teams[pool] = name
+		}
+	}
+	return teams
+}
+
+func leaveMatch(t *target) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		key, _ := ctx.UserValue(keyParameter).(string)
-		ctx.SetUserValue(matchValue, &match{route: route, pool: pool, rank: rank, key: model.Key(key)})
+		ctx.SetUserValue(matchValue, &match{target: t, key: model.Key(key)})
 	}
 }
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
@@ -21,6 +23,8 @@
 	IdempotencyMissing Code = "idempotency_key_missing"
 	InProgress         Code = "in_progress"
 	OutcomeUnknown     Code = "outcome_unknown"
+	AnswerNotKept      Code = "answer_not_kept"
+	IdempotencyReused  Code = "idempotency_key_reused"
 	StoreUnavailable   Code = "store_unavailable"
 	NoOwner            Code = "no_owner"
 	WrongEpoch         Code = "wrong_epoch"
@@ -53,10 +57,19 @@
 type Outcome string
 
 // Outcomes. NotRun is sent only when no byte of the request reached a server,
-// or the server said in its protocol that it did not run the request.
+// or the server said in its protocol that it did not run the request. Completed
+// is sent for repeats of a request that ran and whose answer can't be given again.
+const (
+	NotRun    Outcome = "not_run"
+	Unknown   Outcome = "unknown"
+	Completed Outcome = "completed"
+)
+
+// Pauses that callers are advised to make before a repeat.
 const (
-	NotRun  Outcome = "not_run"
-	Unknown Outcome = "unknown"
+	retrySoon  = 200 * time.Millisecond // ownership or a connection is about to change
+	retryLater = time.Second            // capacity is short or an earlier request is in progress
+	retryStore = 2 * time.Second        // the platform's table does not answer
 )
 
 // Error is a refusal or failure of one request. It is sent to callers as JSON
@@ -104,16 +117,38 @@
 	return body
 }
 
-// Parse reads an error that another daemon sent.
+// Parse reads an error that another daemon sent. An error without a reason or
+// with an outcome that is not known is refused, so that it can't pass as "not run".
 func Parse(body []byte) (*Error, error) {
 	var e Error
 	if err := json.Unmarshal(body, &e); err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "reason: decode")
+	}
+	if e.Code == "" {
+		return nil, errors.New("reason: the reason is missing")
+	}
+	if e.Outcome != NotRun && e.Outcome != Unknown && e.Outcome != Completed {
+		return nil, errors.Errorf("reason: unknown outcome %q", e.Outcome)
 	}
 	e.RetryAfter = time.Duration(e.RetryAfterMS) * time.Millisecond
 	return &e, nil
 }
 
+// RetryAfter returns the pause that a caller is advised to make before a
+// repeat, or zero when a repeat is not advised.
+func (c Code) RetryAfter() time.Duration {
+	switch c {
+	case NoOwner, WrongEpoch, ShardMoving, NotDispatcher, PermitExpired, ServerDraining, ServerUnreachable, DispatcherLost:
+		return retrySoon
+	case QueueFull, EntryFull, RetryBudget, ServerShed, ServerRefusedGrant, DeadlineTooShort, InProgress, ShuttingDown, NotReady:
+		return retryLater
+	case StoreUnavailable:
+		return retryStore
+	default:
+		return 0
+	}
+}
+
 // Status returns the HTTP status code under which a caller sees the code.
 func (c Code) Status() int {
 	switch c {
@@ -125,9 +160,11 @@
 		return 405
 	case InProgress:
 		return 409
+	case AnswerNotKept:
+		return 410
 	case BodyTooLarge:
 		return 413
-	case Suspected:
+	case Suspected, IdempotencyReused:
 		return 422
 	case QueueFull, EntryFull, RetryBudget, ServerShed:
 		return 429
--- /dev/null
+++ b/internal/retry/backoff.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Pauses between attempts.
+const (
+	backoffFirst = 5 * time.Millisecond
+	backoffLimit = 200 * time.Millisecond
+)
+
+// Backoff gives the pauses between the attempts of one request. The zero value
+// is ready to use.
+type Backoff struct {
+	last time.Duration
+}
+
+// Next returns the next pause: twice the last one, with jitter over its upper half.
+func (b *Backoff) Next() time.Duration {
+	if b.last == 0 {
+		b.last = backoffFirst
+	} else {
+		b.last = min(2*b.last, backoffLimit)
+	}
+	return b.last/2 + rand.N(b.last/2)
+}
--- /dev/null
+++ b/internal/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how often and how fast failed requests are sent again.
+package retry
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,11 @@
 	HeaderServer         = "X-Chicorylug-Server"
 	HeaderDispatcher     = "X-Chicorylug-Dispatcher"
 	HeaderEpoch          = "X-Chicorylug-Epoch"
+	// HeaderReplayed is "1" on an answer that was recorded for an earlier request
+	// with the same idempotency key.
+	HeaderReplayed = "X-Chicorylug-Replayed"
+	// HeaderTrace is "1" on requests whose steps the caller wants in the journals.
+	HeaderTrace = "X-Chicorylug-Trace"
 	// HeaderDeadline is an absolute time in Unix milliseconds.
 	HeaderDeadline = "X-Chicorylug-Deadline"
 	// HeaderReason marks an answer that a daemon made itself; its body is a reason.Error.
@@ -29,6 +34,13 @@
 	HeaderOnce = "X-Chicorylug-Once"
 )
 
+// Prefixes of headers that only daemons and backend servers set. They are
+// removed from what callers send.
+const (
+	PrefixInternal = "X-Chicorylug-"
+	PrefixServer   = "X-Server-"
+)
+
 // Headers from backend servers.
 const (
 	// HeaderLoad reports "in-use/slots".
--- a/internal/wire/work.go
+++ b/internal/wire/work.go
@@ -24,6 +24,8 @@
 	Once        bool
 	Idempotency string
 	Deadline    time.Time
+	// Trace asks each daemon on the way to keep the steps of the request.
+	Trace bool
 }
 
 // Write sets the headers.
@@ -41,6 +43,9 @@
 	if w.Once {
 		h.Set(HeaderOnce, "1")
 	}
+	if w.Trace {
+		h.Set(HeaderTrace, "1")
+	}
 	if w.Idempotency != "" {
 		h.Set(HeaderIdempotencyKey, w.Idempotency)
 	}
@@ -61,6 +66,7 @@
 		Once:        r.optional(HeaderOnce) == "1",
 		Idempotency: r.optional(HeaderIdempotencyKey),
 		Deadline:    time.UnixMilli(r.signed(HeaderDeadline, 64)),
+		Trace:       r.optional(HeaderTrace) == "1",
 	}
 	return w, r.err
 }
