--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/chicorylug/chicorylug/internal/model"
@@ -9,6 +10,9 @@
 // Version counts accepted trees. It only rises.
 type Version uint64
 
+// String renders the number.
+func (v Version) String() string { return strconv.FormatUint(uint64(v), 10) }
+
 // Tree is the whole settings tree as operators write it.
 type Tree struct {
 	Fleet Fleet                    `json:"fleet"`
@@ -60,6 +64,9 @@
 	SlowStartMS int `json:"slow_start_ms,omitempty"`
 	// Targets lists servers by address. When empty, the instance list names them.
 	Targets []Target `json:"targets,omitempty"`
+	// Drain lists servers that operators take out of service: they are treated
+	// as leaving.
+	Drain []model.ServerID `json:"drain,omitempty"`
 	// Weights of the placement cost.
 	Placement *PlacementWeights `json:"placement,omitempty"`
 }
