--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -102,9 +102,6 @@
 	return u.stream.err
 }
 
-// whole reports that the body was read to its verified end.
-func (u *upload) whole() bool { return u.stream == nil || u.stream.ended }
-
 // attach sets the body of a forwarded request.
 func (u *upload) attach(request *fasthttp.Request) {
 	if u.stream == nil {
