--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -69,12 +69,6 @@
 	return time.Duration(l.histogram.ValueAtQuantile(percent)) * time.Microsecond
 }
 
-func (l *latencies) max() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Duration(l.histogram.Max()) * time.Microsecond
-}
-
 func (l *latencies) count() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -58,11 +58,11 @@
 	baseLoad = 0.25
 	// gapNoise is the difference of relative load between two servers that
 	// lagging reports may show by chance.
-	gapNoise = 0.05
+	gapNoise = 0.3
 	// gapPerChurn and gapPerUnavailable turn weights into the difference of
 	// relative load that is worth the move of an average shard.
-	gapPerChurn       = 0.05
-	gapPerUnavailable = 0.02
+	gapPerChurn       = 0.2
+	gapPerUnavailable = 0.25
 )
 
 // Decide returns the moves that lower the cost. Shards without an owner and
