--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -74,3 +74,9 @@
 	defer l.mu.Unlock()
 	return l.histogram.TotalCount()
 }
+
+func (l *latencies) max() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.histogram.Max()) * time.Microsecond
+}
--- /dev/null
+++ b/internal/experiment/control.go
@@ -0,0 +1,207 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/fleet"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/settings"
+)
+
+const (
+	controlDuration = 8 * time.Second // of one measurement
+	controlSettle   = 4 * time.Second // before it
+	controlDaemons  = 14
+	controlShards   = 128
+)
+
+// controlSize is one point at which control is measured.
+type controlSize struct {
+	daemons int
+	servers int // of the keyed pool; the only pool
+	shards  int
+	changes float64 // settings changes a second
+}
+
+func (s controlSize) String() string {
+	return fmt.Sprintf("%d daemons, %d servers, %d shards, %.1f changes/s", s.daemons, s.servers, s.shards, s.changes)
+}
+
+// controlCost is what control used at one size, without any requests.
+type controlCost struct {
+	processor float64 // percent of a core per daemon
+	memory    float64 // MB per daemon
+	bytes     float64 // control bytes a second per daemon, in and out
+	messages  float64 // control messages a second per daemon, in and out
+	reads     float64 // store reads a second of the fleet, the instance list included
+	writes    float64 // store writes a second of the fleet
+}
+
+// sweep varies one quantity and keeps the others.
+type sweep struct {
+	name  string
+	sizes []controlSize
+	value func(controlSize) float64
+}
+
+func controlSweeps(daemons int) []sweep {
+	base := controlSize{daemons: daemons, servers: 15, shards: controlShards}
+	vary := func(name string, value func(controlSize) float64, changes ...func(*controlSize)) sweep {
+		s := sweep{name: name, value: value}
+		for _, change := range changes {
+			size := base
+			change(&size)
+			s.sizes = append(s.sizes, size)
+		}
+		return s
+	}
+	return []sweep{
+		vary("daemon", func(s controlSize) float64 { return float64(s.daemons) },
+			func(s *controlSize) { s.daemons = daemons / 2 }, func(*controlSize) {},
+			func(s *controlSize) { s.daemons = 2 * daemons }, func(s *controlSize) { s.daemons = 4 * daemons }),
+		vary("server", func(s controlSize) float64 { return float64(s.servers) },
+			func(*controlSize) {}, func(s *controlSize) { s.servers = 30 }, func(s *controlSize) { s.servers = 60 }),
+		vary("shard", func(s controlSize) float64 { return float64(s.shards) },
+			func(*controlSize) {}, func(s *controlSize) { s.shards = 512 }, func(s *controlSize) { s.shards = 2048 }),
+		vary("settings change a second", func(s controlSize) float64 { return s.changes },
+			func(*controlSize) {}, func(s *controlSize) { s.changes = 0.5 }, func(s *controlSize) { s.changes = 2 }),
+	}
+}
+
+// runControl measures what control costs a daemon as the fleet grows, without requests.
+func runControl(ctx context.Context, o Options, r *Report) error {
+	points := r.table("Control without requests", "daemons", "servers", "shards", "changes/s",
+		"CPU % of a core/daemon", "MB/daemon", "bytes/s/daemon", "messages/s/daemon", "store reads/s fleet", "store writes/s fleet")
+	slopes := r.table("Fitted slopes", "per", "quantity", "at zero", "slope", "R2")
+	known := map[controlSize]controlCost{}
+	for _, s := range controlSweeps(o.daemons(controlDaemons)) {
+		var x []float64
+		var costs []controlCost
+		for _, size := range s.sizes {
+			cost, measured := known[size]
+			if !measured {
+				o.progress("control at %s", size)
+				var err error
+				if cost, err = measureControl(ctx, o, size); err != nil {
+					return err
+				}
+				known[size] = cost
+				points.add(size.daemons, size.servers, size.shards, size.changes,
+					cost.processor, cost.memory, cost.bytes, cost.messages, cost.reads, cost.writes)
+			}
+			x = append(x, s.value(size))
+			costs = append(costs, cost)
+		}
+		addSlopes(r, slopes, s.name, x, costs)
+	}
+	r.note("processor time is that of the whole process: the daemons, idle stand-in servers and the stand-in platform, divided by the daemons")
+	return ctx.Err()
+}
+
+func addSlopes(r *Report, t *Table, name string, x []float64, costs []controlCost) {
+	quantities := []struct {
+		name string
+		of   func(controlCost) float64
+	}{
+		{"CPU % of a core/daemon", func(c controlCost) float64 { return c.processor }},
+		{"MB/daemon", func(c controlCost) float64 { return c.memory }},
+		{"bytes/s/daemon", func(c controlCost) float64 { return c.bytes }},
+		{"messages/s/daemon", func(c controlCost) float64 { return c.messages }},
+		{"store reads/s fleet", func(c controlCost) float64 { return c.reads }},
+		{"store writes/s fleet", func(c controlCost) float64 { return c.writes }},
+	}
+	for _, quantity := range quantities {
+		y := make([]float64, len(costs))
+		for i, cost := range costs {
+			y[i] = quantity.of(cost)
+		}
+		line := fit(x, y)
+		t.add(name, quantity.name, line.intercept, line.perUnit, line.r2)
+		if name == "daemon" && quantity.name == "bytes/s/daemon" {
+			r.Figure = &Figure{Title: "Control bytes of one daemon", X: "daemons", Y: "bytes/s", Series: []Line{{Name: "measured", X: x, Y: y}}}
+		}
+	}
+}
+
+func measureControl(ctx context.Context, o Options, size controlSize) (controlCost, error) {
+	d, err := loadDeployment(o.Deployment)
+	if err != nil {
+		return controlCost{}, err
+	}
+	d.onlyKeyed(0)
+	d.servers[0].Count = size.servers
+	d.teamOf().Pools[d.keyed].Shards = size.shards
+	options, err := d.fleetOptions(0)
+	if err != nil {
+		return controlCost{}, err
+	}
+	f, err := fleet.Start(options)
+	if f != nil {
+		defer f.Close()
+	}
+	if err != nil {
+		return controlCost{}, err
+	}
+	before := memoryInUse()
+	if err := startDaemons(ctx, f, size.daemons); err != nil {
+		return controlCost{}, err
+	}
+	sleep(ctx, controlSettle)
+	cost, err := observeControl(ctx, f, d, size, o.duration(controlDuration))
+	cost.memory = (memoryInUse() - before) / megabyte / float64(size.daemons)
+	return cost, err
+}
+
+func observeControl(ctx context.Context, f *fleet.Fleet, d *deployment, size controlSize, duration time.Duration) (controlCost, error) {
+	bytes, messages := controlTraffic(f)
+	counts, processor, start := f.Platform.Counts(), processorTime(), time.Now()
+	if err := changeAtRate(ctx, f, d, size.changes, duration); err != nil {
+		return controlCost{}, err
+	}
+	seconds := time.Since(start).Seconds()
+	daemons := float64(size.daemons)
+	after := f.Platform.Counts()
+	used := (processorTime() - processor).Seconds()
+	bytesAfter, messagesAfter := controlTraffic(f)
+	return controlCost{
+		processor: 100 * used / seconds / daemons,
+		bytes:     (bytesAfter - bytes) / seconds / daemons,
+		messages:  (messagesAfter - messages) / seconds / daemons,
+		reads:     float64(after.Reads+after.ListReads-counts.Reads-counts.ListReads) / seconds,
+		writes:    float64(after.Writes-counts.Writes) / seconds,
+	}, nil
+}
+
+// controlTraffic sums the bytes and messages that all daemons counted.
+func controlTraffic(f *fleet.Fleet) (bytes, messages float64) {
+	for _, node := range f.Nodes {
+		_ = node.Daemon.Invoke(func(m *metrics.Registry) {
+			bytes += float64(m.Int("control_bytes_in").Value() + m.Int("control_bytes_out").Value())
+			messages += float64(m.Int("control_messages_in").Value() + m.Int("control_messages_out").Value())
+		})
+	}
+	return bytes, messages
+}
+
+// changeAtRate accepts settings changes at a rate for a time.
+func changeAtRate(ctx context.Context, f *fleet.Fleet, d *deployment, rate float64, duration time.Duration) error {
+	end := time.Now().Add(duration)
+	if rate == 0 {
+		sleep(ctx, duration)
+		return nil
+	}
+	period := time.Duration(float64(time.Second) / rate)
+	team, name := d.teamOf(), d.teamName()
+	pool := team.Pools[d.keyed]
+	for change := 0; time.Now().Before(end) && ctx.Err() == nil; change++ {
+		next := time.Now().Add(period)
+		pool.QueuePerRank = settings.DefaultQueuePerRank + change + 1
+		if _, err := accept(ctx, f.Nodes[0], name, team); err != nil {
+			return err
+		}
+		sleep(ctx, time.Until(next))
+	}
+	return nil
+}
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,3 +123,21 @@
 		ZoneDelay: d.zoneDelay,
 	}, errors.Wrap(err, "encode settings")
 }
+
+// onlyKeyed leaves servers to the keyed pool alone and sets their service time.
+func (d *deployment) onlyKeyed(serviceMS float64) {
+	d.servers = d.servers[:1]
+	d.servers[0].ServiceMS = serviceMS
+	for _, team := range d.tree.Teams {
+		d.removeOtherPools(team)
+	}
+}
+
+func (d *deployment) removeOtherPools(team *settings.Team) {
+	for name := range team.Pools {
+		if name != d.keyed {
+			delete(team.Pools, name)
+		}
+	}
+	team.Routes = slices.DeleteFunc(team.Routes, func(r *settings.Route) bool { return r.Pool != d.keyed })
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,6 +65,10 @@
 	return []Experiment{
 		{"path", "added latency and processor time of entry and dispatcher against a direct call", runPath},
 		{"placement", "imbalance, churn and unavailable time of placement against baselines", runPlacement},
+		{"flood", "service by rank under floods, dispatcher queues against direct sending under local limits", runFlood},
+		{"control", "processor time, memory, control bytes and store operations as the fleet grows", runControl},
+		{"loss", "time without service after losses of servers, daemons and zones", runLoss},
+		{"settings", "time from acceptance to in force, and store reads, against polling", runSettings},
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/flood.go
@@ -0,0 +1,236 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylug/chicorylug/internal/directory"
+	"github.com/chicorylug/chicorylug/internal/fleet"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/settings"
+)
+
+const (
+	floodDaemons   = 28
+	floodDuration  = 8 * time.Second // of one phase
+	floodServiceMS = 50.0
+	floodFactor    = 10.0 // offered load of the flooding rank over the capacity
+	floodKeys      = 5000
+	floodTimeout   = 3 * time.Second // longest deadline of a request
+	floodRoute     = "/experiment/flood"
+)
+
+// floodShares are the loads of the ranks outside floods, as shares of the capacity.
+var floodShares = []float64{0.25, 0.25, 0.15}
+
+// floodRun holds what both systems under the flood share.
+type floodRun struct {
+	options  Options
+	fleet    *fleet.Fleet
+	ranks    []settings.RankSettings
+	capacity float64 // requests a second
+	slots    int     // of all servers together
+	duration time.Duration
+}
+
+// floodPhase is one stretch of the flood; flooded is the flooding rank or -1.
+type floodPhase struct {
+	name    string
+	flooded int
+}
+
+// rankResult is what one rank got in one phase.
+type rankResult struct {
+	offered   atomic.Int64
+	inTarget  atomic.Int64
+	latencies *latencies
+}
+
+// send sends one request of a rank under a key, waits for the answer and
+// reports whether it was served.
+type send func(ctx context.Context, number, rank int, key model.Key) bool
+
+// runFlood gives the same load to the dispatchers' queues and to entries that
+// send directly under local limits.
+func runFlood(ctx context.Context, o Options, r *Report) error {
+	d, err := loadDeployment(o.Deployment)
+	if err != nil {
+		return err
+	}
+	f, run, err := startFlood(ctx, o, d)
+	if f != nil {
+		defer f.Close()
+	}
+	if err != nil {
+		return err
+	}
+	if err := run.measure(ctx, r, "dispatcher queues", run.routed()); err != nil {
+		return err
+	}
+	direct, err := run.direct(d)
+	if err != nil {
+		return err
+	}
+	r.note("capacity %.0f requests a second: %d slots, %.0f ms a request; a flood offers %.0f times that; no delay between zones", run.capacity, run.slots, floodServiceMS, floodFactor)
+	r.note("kept is the rank's share of all slots in percent; goodput counts answers within the rank's target and a deadline of at most %s", floodTimeout)
+	return run.measure(ctx, r, "baseline: entries send directly, local limit of 1 per server", direct)
+}
+
+func startFlood(ctx context.Context, o Options, d *deployment) (*fleet.Fleet, *floodRun, error) {
+	for rank, described := range d.tree.Fleet.Ranks {
+		d.addRoute(&settings.Route{
+			Name: model.RouteName(fmt.Sprintf("experiment-flood-%d", rank)), Methods: []string{"GET"},
+			Path: fmt.Sprintf("%s/%d/{key}", floodRoute, rank), Rank: described.Name,
+			TimeoutMS: int(deadlineOf(described).Milliseconds()),
+		})
+	}
+	pool, err := d.pool()
+	if err != nil {
+		return nil, nil, err
+	}
+	d.onlyKeyed(floodServiceMS)
+	options, err := d.fleetOptions(o.daemons(floodDaemons))
+	if err != nil {
+		return nil, nil, err
+	}
+	options.ZoneDelay = 0
+	options.DiscardRuns = true
+	o.progress("starting %d daemons", options.Daemons)
+	f, err := fleet.Start(options)
+	if err != nil {
+		return f, nil, err
+	}
+	slots := d.servers[0].Count * pool.Slots
+	run := &floodRun{
+		options:  o,
+		fleet:    f,
+		ranks:    d.tree.Fleet.Ranks,
+		slots:    slots,
+		capacity: float64(slots) / (floodServiceMS / 1000),
+		duration: o.duration(floodDuration),
+	}
+	return f, run, waitReady(ctx, f)
+}
+
+func deadlineOf(rank settings.RankSettings) time.Duration {
+	const targets = 5 // a deadline is this many targets
+	return min(floodTimeout, targets*time.Duration(rank.TargetMS)*time.Millisecond)
+}
+
+func (f *floodRun) routed() send {
+	c := newCaller(2 * floodTimeout)
+	return func(_ context.Context, number, rank int, key model.Key) bool {
+		node := f.fleet.Nodes[number%len(f.fleet.Nodes)]
+		return c.get(node.CallerAddress(), fmt.Sprintf("%s/%d/%s", floodRoute, rank, key)).ok
+	}
+}
+
+func (f *floodRun) direct(d *deployment) (send, error) {
+	owners, err := ownersOf(f.fleet, d)
+	if err != nil {
+		return nil, err
+	}
+	floors := make([]float64, len(f.ranks))
+	for i, rank := range f.ranks {
+		floors[i] = float64(rank.FloorPercent) / 100
+	}
+	pool, err := d.pool()
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]*directEntry, len(f.fleet.Nodes))
+	for i := range entries {
+		entries[i] = newDirectEntry(newCaller(2*floodTimeout), floors, 1, pool.QueuePerRank)
+	}
+	return func(ctx context.Context, number, rank int, key model.Key) bool {
+		path := fmt.Sprintf("%s/%d/%s", floodRoute, rank, key)
+		return entries[number%len(entries)].get(ctx, owners.of(key), path, rank).ok
+	}, nil
+}
+
+// ownersOf reads the assignment that the first daemon knows.
+func ownersOf(f *fleet.Fleet, d *deployment) (*ownerAddresses, error) {
+	owners := &ownerAddresses{}
+	err := f.Nodes[0].Daemon.Invoke(func(dir *directory.Directory) {
+		assignment := dir.Load().Pools[d.keyed]
+		owners.shardOf = assignment.ShardOf
+		for _, shard := range assignment.Shards {
+			owners.address = append(owners.address, assignment.Server(shard.Server).Address)
+		}
+	})
+	return owners, errors.Wrap(err, "read assignment")
+}
+
+func (f *floodRun) measure(ctx context.Context, r *Report, system string, do send) error {
+	last := len(f.ranks) - 1
+	phases := []floodPhase{
+		{"before", -1},
+		{"flood of " + string(f.ranks[last].Name), last},
+		{"between", -1},
+		{"flood of " + string(f.ranks[0].Name), 0},
+		{"after", -1},
+	}
+	t := r.table(system, "phase", "rank", "offered/s", "served/s", "kept %", "floor %", "within target %", "p50", "p99")
+	for _, phase := range phases {
+		f.options.progress("%s: %s", system, phase.name)
+		results := f.run(ctx, phase, do)
+		for rank, result := range results {
+			f.add(t, phase, rank, result)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *floodRun) run(ctx context.Context, phase floodPhase, do send) []*rankResult {
+	results := make([]*rankResult, len(f.ranks))
+	var all sync.WaitGroup
+	for rank := range f.ranks {
+		results[rank] = &rankResult{latencies: newLatencies()}
+		rate := f.capacity * floodShares[rank]
+		if rank == phase.flooded {
+			rate = f.capacity * floodFactor
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.runRank(ctx, rank, rate, results[rank], do)
+		}()
+	}
+	all.Wait()
+	return results
+}
+
+func (f *floodRun) runRank(ctx context.Context, rank int, rate float64, result *rankResult, do send) {
+	deadline := deadlineOf(f.ranks[rank])
+	target := time.Duration(f.ranks[rank].TargetMS) * time.Millisecond
+	load := arrivals{rate: rate, duration: f.duration, seed: f.options.Seed + uint64(rank)}
+	load.run(ctx, func(number int, intended time.Time) {
+		result.offered.Add(1)
+		key := model.Key(fmt.Sprintf("k%d", rand.New(rand.NewPCG(load.seed, uint64(number))).IntN(floodKeys)))
+		bounded, cancel := context.WithDeadline(ctx, intended.Add(deadline))
+		defer cancel()
+		if !do(bounded, number, rank, key) {
+			return
+		}
+		latency := time.Since(intended)
+		result.latencies.add(latency)
+		if latency <= target {
+			result.inTarget.Add(1)
+		}
+	})
+}
+
+func (f *floodRun) add(t *Table, phase floodPhase, rank int, result *rankResult) {
+	seconds := f.duration.Seconds()
+	served := float64(result.latencies.count()) / seconds
+	offered := float64(result.offered.Load())
+	t.add(phase.name, f.ranks[rank].Name, offered/seconds, served,
+		100*served/f.capacity, f.ranks[rank].FloorPercent, 100*float64(result.inTarget.Load())/max(1, offered),
+		result.latencies.quantile(50), result.latencies.quantile(99))
+}
--- a/internal/experiment/stats.go
+++ b/internal/experiment/stats.go
@@ -14,3 +14,13 @@
 	}
 	return stat.Mean(sorted, nil), stat.Quantile(quantile, stat.Empirical, sorted, nil)
 }
+
+// slope is a fitted line y = intercept + perUnit * x.
+type slope struct {
+	intercept, perUnit, r2 float64
+}
+
+func fit(x, y []float64) slope {
+	intercept, perUnit := stat.LinearRegression(x, y, nil, false)
+	return slope{intercept: intercept, perUnit: perUnit, r2: stat.RSquared(x, y, nil, intercept, perUnit)}
+}
