--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -149,6 +149,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s: dial %s", method, address)
 	}
+	// A write to a peer that is cut off does not watch the context; closing the
+	// connection ends it.
+	stop := context.AfterFunc(ctx, func() { p.drop(client) })
+	defer stop()
 	resp := new(Resp)
 	err = client.CallResult(ctx, string(method), req, resp)
 	if err == nil {
