--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 
@@ -45,7 +46,8 @@
 
 // Embedded describes the stand-ins of a trial installation.
 type Embedded struct {
-	// SettingsFile is the settings tree to accept at the start, relative to the settings file.
+	// SettingsFile is the settings tree to accept at the start. Paths are
+	// relative to the folder of this file.
 	SettingsFile string           `json:"settings_file"`
 	Servers      []EmbeddedServer `json:"servers"`
 }
@@ -88,12 +90,64 @@
 	if err := doc.Decode(c); err != nil {
 		return nil, err
 	}
+	c.resolveFiles(filepath.Dir(file))
 	if problems := c.check(doc); len(problems) > 0 {
 		return nil, problems
 	}
 	return c, nil
 }
 
+// resolveFiles makes the paths of other files relative to the folder of the settings file.
+func (c *Config) resolveFiles(folder string) {
+	for _, named := range c.files() {
+		if *named.file != "" && !filepath.IsAbs(*named.file) {
+			*named.file = filepath.Join(folder, *named.file)
+		}
+	}
+}
+
+type namedFile struct {
+	name string
+	file *string
+}
+
+func (c *Config) files() []namedFile {
+	var files []namedFile
+	if c.Embedded != nil {
+		files = append(files, namedFile{"embedded.settings_file", &c.Embedded.SettingsFile})
+	}
+	if c.AdminAuth != nil {
+		files = append(files,
+			namedFile{"admin_auth.tokens_file", &c.AdminAuth.TokensFile},
+			namedFile{"admin_auth.cert_file", &c.AdminAuth.CertFile},
+			namedFile{"admin_auth.key_file", &c.AdminAuth.KeyFile})
+	}
+	return files
+}
+
+// AddressProblem names file, line and setting of the address that err says is
+// in use, or returns err.
+func AddressProblem(file string, c *Config, err error) error {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Addr == nil {
+		return err
+	}
+	text, readErr := os.ReadFile(file)
+	if readErr != nil {
+		return err
+	}
+	doc, parseErr := jsonc.Parse(file, text)
+	if parseErr != nil {
+		return err
+	}
+	for _, l := range c.listeners() {
+		if l.address == op.Addr.String() {
+			return jsonc.Problems{doc.Problem([]string{l.name}, "cannot listen on %s: %v", l.address, op.Err)}
+		}
+	}
+	return err
+}
+
 type namedAddress struct {
 	name    string
 	address string
@@ -129,6 +183,7 @@
 		}
 	}
 	c.checkPlatform(add)
+	c.checkFiles(add)
 	if !knownLevel(c.LogLevel) {
 		add("log_level", "found %q, want debug, info, warn or error", c.LogLevel)
 	}
@@ -166,6 +221,20 @@
 	}
 }
 
+func (c *Config) checkFiles(add func(path, format string, args ...any)) {
+	for _, named := range c.files() {
+		if *named.file == "" {
+			continue
+		}
+		if _, err := os.Stat(*named.file); err != nil {
+			add(named.name, "found a file that cannot be read, want the path of one: %v", err)
+		}
+	}
+	if c.AdminAuth != nil && (c.AdminAuth.CertFile == "") != (c.AdminAuth.KeyFile == "") {
+		add("admin_auth", "found only one of cert_file and key_file, want both or none")
+	}
+}
+
 // addressProblem returns what is wrong with an ip:port, or "".
 func addressProblem(address string) string {
 	if address == "" {
--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"github.com/pkg/errors"
 
@@ -25,13 +24,12 @@
 }
 
 // StartEmbedded starts the stand-ins that c asks for and points c at them.
-// Paths are relative to the folder of file.
-func StartEmbedded(c *config.Config, file string) (*Embedded, error) {
-	tree, err := os.ReadFile(filepath.Join(filepath.Dir(file), c.Embedded.SettingsFile))
+func StartEmbedded(c *config.Config) (*Embedded, error) {
+	tree, err := os.ReadFile(c.Embedded.SettingsFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "embedded.settings_file")
 	}
-	parsed, err := settings.Parse(tree)
+	parsed, err := settings.Validate(c.Embedded.SettingsFile, tree, settings.Environment{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"os"
@@ -13,8 +14,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/chicorylug/chicorylug/internal/admin"
 	"github.com/chicorylug/chicorylug/internal/buildinfo"
 	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/settings"
 )
 
 // Exit codes of chicorylugd.
@@ -47,7 +50,7 @@
 		fmt.Fprintln(stderr, "chicorylugd: --config FILE is missing; see --help")
 		return ExitBadUsage
 	}
-	c, err := config.Load(o.Config)
+	c, err := load(o.Config)
 	if err != nil {
 		fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
 		return ExitBadUsage
@@ -56,13 +59,49 @@
 		fmt.Fprintf(stdout, "%s: ok\n", o.Config)
 		return ExitOK
 	}
-	if err := run(c, o.Config, stderr); err != nil {
+	if err := run(c, stderr); err != nil {
+		err = config.AddressProblem(o.Config, c, err)
 		fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
+// load reads the settings file and checks it with the files that it names.
+func load(file string) (*config.Config, error) {
+	c, err := config.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	return c, checkFiles(c)
+}
+
+// checkFiles checks the content of the files that the settings name.
+func checkFiles(c *config.Config) error {
+	if c.Embedded != nil {
+		text, err := os.ReadFile(c.Embedded.SettingsFile)
+		if err != nil {
+			return errors.Wrap(err, "read settings tree")
+		}
+		if _, err := settings.Validate(c.Embedded.SettingsFile, text, settings.Environment{}); err != nil {
+			return err
+		}
+	}
+	if c.AdminAuth == nil {
+		return nil
+	}
+	if c.AdminAuth.TokensFile != "" {
+		if _, err := admin.LoadTokens(c.AdminAuth.TokensFile); err != nil {
+			return err
+		}
+	}
+	if c.AdminAuth.CertFile == "" {
+		return nil
+	}
+	_, err := tls.LoadX509KeyPair(c.AdminAuth.CertFile, c.AdminAuth.KeyFile)
+	return errors.Wrap(err, "read admin_auth.cert_file and key_file")
+}
+
 func usageExit(err error, stdout, stderr io.Writer) int {
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
@@ -74,7 +113,7 @@
 }
 
 // run serves until SIGTERM or SIGINT, then finishes the requests in progress.
-func run(c *config.Config, file string, stderr io.Writer) error {
+func run(c *config.Config, stderr io.Writer) error {
 	log, err := NewLogger(c.LogLevel, stderr)
 	if err != nil {
 		return err
@@ -82,7 +121,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if c.Embedded != nil {
-		embedded, err := StartEmbedded(c, file)
+		embedded, err := StartEmbedded(c)
 		if err != nil {
 			return err
 		}
--- a/scenarios/cmd_fleet_test.go
+++ b/scenarios/cmd_fleet_test.go
@@ -134,6 +134,7 @@
 		LogLevel:        "debug",
 		ShutdownSeconds: config.DefaultShutdownSeconds,
 		TestFaults:      true,
+		AdminAuth:       w.adminAuth,
 	}
 	file := w.writeJSON(ts, name+".json", conf)
 	d := &process{name: name, args: []string{"--config", file}, log: ts.MkAbs(name + ".log"), conf: conf}
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -51,8 +51,11 @@
 	path    string
 
 	daemons []*process
-	standin *process
-	servers []backend.Options
+	// adminAuth protects the admin addresses of daemons that are described later.
+	adminAuth *config.AdminAuth
+	versions  *watcher
+	standin   *process
+	servers   []backend.Options
 
 	mu       sync.Mutex
 	observed []observation
