httplink: never take a short answer or upload for whole

Cause: an answer without a length ended at the close of the connection, so a cut one counted as whole; bytes that followed an answer stayed in the buffer of a reused connection; an answer without a body stream could not be read; a failure after the end of the context hid its cause. Change: answers without length are refused, a connection with bytes behind an answer is closed, failures carry the context's cause and say whether the caller's upload ended early; an error answer of a peer that stopped reading is used, a success is not. Conclusion: exchange_test.go cuts both framings at every byte, and counts the requests that reach a server when a kept connection closes.

--- /dev/null
+++ b/internal/httplink/exchange.go
@@ -0,0 +1,183 @@
+package httplink
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// earlyAnswerWait bounds the wait for the answer of a peer that stopped reading the request.
+const earlyAnswerWait = 100 * time.Millisecond
+
+// Exchange is a request whose answer has begun. The body must be read through
+// Read and the exchange ended by Close.
+type Exchange struct {
+	pool   *Pool
+	conn   *conn
+	resp   *fasthttp.Response
+	ctx    context.Context
+	stop   func() bool
+	length int64 // body length in bytes, -1 when it comes in chunks
+	left   int64 // body bytes still expected; -1 when it comes in chunks
+	end    bool  // the body was read to its end
+	broken bool  // the request was not sent whole: the connection is not reused
+	once   sync.Once
+}
+
+// Do sends req once and reads the header of the answer into resp. When ctx
+// ends, the connection is closed and the exchange fails. A request is never
+// sent again here, and its end is never sent when its body ended early.
+func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, *Failure) {
+	c, err := p.acquire()
+	if err != nil {
+		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
+	}
+	if ctx.Err() != nil {
+		p.release(c)
+		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
+	}
+	c.written, c.writeErr = 0, nil
+	e := &Exchange{pool: p, conn: c, resp: resp, ctx: ctx}
+	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if failure := e.begin(req); failure != nil {
+		e.stop()
+		p.discard(c)
+		return nil, failure
+	}
+	return e, nil
+}
+
+func (e *Exchange) begin(req *fasthttp.Request) *Failure {
+	err := e.write(req)
+	if err == nil {
+		return e.readHeader(req)
+	}
+	failure := e.failure(StageWrite, e.conn.written > 0, err)
+	failure.ShortUpload = e.conn.writeErr == nil
+	if failure.Sent && !failure.ShortUpload && e.refusedEarly(req) {
+		return nil
+	}
+	return failure
+}
+
+func (e *Exchange) write(req *fasthttp.Request) error {
+	if err := req.Write(e.conn.writer); err != nil {
+		return err
+	}
+	return e.conn.writer.Flush()
+}
+
+func (e *Exchange) failure(stage Stage, sent bool, err error) *Failure {
+	return &Failure{Stage: stage, Peer: e.pool.address, Sent: sent, Err: e.cause(err)}
+}
+
+// cause returns why ctx ended when the connection was closed for that.
+func (e *Exchange) cause(err error) error {
+	if e.ctx.Err() != nil {
+		return context.Cause(e.ctx)
+	}
+	return err
+}
+
+func (e *Exchange) readHeader(req *fasthttp.Request) *Failure {
+	e.resp.StreamBody = true
+	e.resp.SkipBody = req.Header.IsHead()
+	if err := e.resp.ReadLimitBody(e.conn.reader, 0); err != nil {
+		return e.failure(StageRead, true, err)
+	}
+	e.length = bodyLength(e.resp)
+	e.left = e.length
+	if e.length == unframed {
+		return e.failure(StageRead, true, ErrUnframed)
+	}
+	return nil
+}
+
+// refusedEarly reads the answer of a peer that refused the request before it
+// had read all of it. An early success is not believed.
+func (e *Exchange) refusedEarly(req *fasthttp.Request) bool {
+	if e.ctx.Err() != nil || e.conn.SetReadDeadline(time.Now().Add(earlyAnswerWait)) != nil {
+		return false
+	}
+	e.broken = true
+	if e.readHeader(req) != nil || e.resp.StatusCode() < fasthttp.StatusBadRequest {
+		return false
+	}
+	return e.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// Body lengths that are not a number of bytes.
+const (
+	chunked  = -1
+	unframed = -2
+)
+
+func bodyLength(resp *fasthttp.Response) int64 {
+	if resp.BodyStream() == nil {
+		return 0
+	}
+	return int64(resp.Header.ContentLength())
+}
+
+// Length returns the length of the whole body in bytes, or -1 when it comes in chunks.
+func (e *Exchange) Length() int { return int(e.length) }
+
+// Read reads the body. A body that ends early is io.ErrUnexpectedEOF, never io.EOF.
+func (e *Exchange) Read(p []byte) (int, error) {
+	if e.end || e.left == 0 {
+		e.end = true
+		return 0, io.EOF
+	}
+	count, err := e.resp.BodyStream().Read(p)
+	if e.left > 0 {
+		e.left -= int64(count)
+	}
+	if err == nil {
+		return count, nil
+	}
+	return count, e.ended(err)
+}
+
+func (e *Exchange) ended(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return e.cause(err)
+	}
+	if e.left > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	e.end = true
+	return io.EOF
+}
+
+// Whole reports that the body was read to its end.
+func (e *Exchange) Whole() bool { return e.end || e.left == 0 }
+
+// Discard reads what is left of the body and ends the exchange.
+func (e *Exchange) Discard() error {
+	_, err := io.Copy(io.Discard, e)
+	_ = e.Close()
+	return err
+}
+
+// Close ends the exchange. The connection is reused only when the request was
+// sent whole, the body was read to its end, nothing follows it, and the peer
+// keeps the connection open.
+func (e *Exchange) Close() error {
+	e.once.Do(e.close)
+	return nil
+}
+
+func (e *Exchange) close() {
+	intact := e.stop()
+	keep := intact && e.Whole() && !e.broken && !e.resp.ConnectionClose()
+	_ = e.resp.CloseBodyStream()
+	if keep && e.conn.reader.Buffered() == 0 {
+		e.pool.release(e.conn)
+		return
+	}
+	e.pool.discard(e.conn)
+}
--- /dev/null
+++ b/internal/httplink/exchange_test.go
@@ -0,0 +1,226 @@
+package httplink
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// peer accepts connections and runs script on each, with its number from 0.
+func peer(t *testing.T, script func(number int, conn net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(number, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dialTCP(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
+func get() *fasthttp.Request {
+	request := &fasthttp.Request{}
+	request.SetRequestURI("/thing")
+	request.Header.SetHost("server")
+	return request
+}
+
+// readRequest reads one request without a body.
+func readRequest(reader *bufio.Reader) bool {
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+const (
+	fixedAnswer   = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+)
+
+func fetch(pool *Pool) (string, error) {
+	answer := &fasthttp.Response{}
+	exchange, failure := pool.Do(context.Background(), get(), answer)
+	if failure != nil {
+		return "", failure
+	}
+	defer func() { _ = exchange.Close() }()
+	body, err := io.ReadAll(exchange)
+	return string(body), err
+}
+
+func TestAnswerCutAtAnyByteIsNoWholeAnswer(t *testing.T) {
+	for _, whole := range []string{fixedAnswer, chunkedAnswer} {
+		address := peer(t, func(number int, conn net.Conn) {
+			if readRequest(bufio.NewReader(conn)) {
+				_, _ = conn.Write([]byte(whole[:number]))
+			}
+		})
+		pool := NewPool(address, 1, dialTCP)
+		for range whole {
+			_, err := fetch(pool)
+			must.Error(t, err)
+			must.False(t, errors.Is(err, ErrPoolFull))
+		}
+		body, err := fetch(pool)
+		must.NoError(t, err)
+		must.Eq(t, "hello", body)
+	}
+}
+
+func TestAnswerWithoutLengthIsNotTrusted(t *testing.T) {
+	address := peer(t, func(_ int, conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel"))
+	})
+	_, err := fetch(NewPool(address, 1, dialTCP))
+	must.ErrorIs(t, err, ErrUnframed)
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	address := peer(t, func(number int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for readRequest(reader) {
+			answer := fixedAnswer
+			if number == 0 {
+				answer += strings.Replace(fixedAnswer, "hello", "later", 1)
+			}
+			_, _ = conn.Write([]byte(answer))
+		}
+	})
+	pool := NewPool(address, 1, dialTCP)
+	for range 3 {
+		body, err := fetch(pool)
+		must.NoError(t, err)
+		must.Eq(t, "hello", body)
+	}
+}
+
+func TestRequestIsNeverSentAgain(t *testing.T) {
+	requests := make(chan int, 16)
+	address := peer(t, func(number int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		readRequest(reader)
+		requests <- number
+		_, _ = conn.Write([]byte(fixedAnswer))
+		if readRequest(reader) {
+			requests <- number
+		}
+	})
+	pool := NewPool(address, 1, dialTCP)
+	_, err := fetch(pool)
+	must.NoError(t, err)
+	_, failure := pool.Do(context.Background(), get(), &fasthttp.Response{})
+	must.NotNil(t, failure)
+	must.True(t, failure.Sent)
+	must.Eq(t, 0, pool.Open())
+	must.Eq(t, 2, len(requests))
+}
+
+func TestNothingWasSentWhenTheDialFails(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	_, failure := NewPool(listener.Addr().String(), 1, dialTCP).Do(context.Background(), get(), &fasthttp.Response{})
+	must.Eq(t, StageDial, failure.Stage)
+	must.False(t, failure.Sent)
+}
+
+func TestEndedContextSendsNothing(t *testing.T) {
+	address := peer(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	ctx, cancel := context.WithCancelCause(context.Background())
+	gone := errors.New("caller gone")
+	cancel(gone)
+	_, failure := NewPool(address, 1, dialTCP).Do(ctx, get(), &fasthttp.Response{})
+	must.False(t, failure.Sent)
+	must.ErrorIs(t, failure, gone)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	address := peer(t, func(_ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		readRequest(reader)
+		cancel()
+		_, _ = reader.ReadByte()
+		close(ended)
+	})
+	pool := NewPool(address, 1, dialTCP)
+	_, failure := pool.Do(ctx, get(), &fasthttp.Response{})
+	must.True(t, failure.Sent)
+	must.ErrorIs(t, failure, context.Canceled)
+	<-ended
+	must.Eq(t, 0, pool.Open())
+}
+
+// TestShortUploadIsNotEnded proves that a server cannot take an upload for
+// whole whose caller went away.
+func TestShortUploadIsNotEnded(t *testing.T) {
+	for _, length := range []int{100, chunked} {
+		received := make(chan string, 1)
+		address := peer(t, func(_ int, conn net.Conn) {
+			text, _ := io.ReadAll(conn)
+			received <- string(text)
+		})
+		request := get()
+		request.Header.SetMethod(fasthttp.MethodPut)
+		request.SetBodyStream(io.MultiReader(strings.NewReader("abc"), failing{}), length)
+		_, failure := NewPool(address, 1, dialTCP).Do(context.Background(), request, &fasthttp.Response{})
+		must.True(t, failure.ShortUpload)
+		must.StrNotHasSuffix(t, "0\r\n\r\n", <-received)
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func TestEarlyAnswers(t *testing.T) {
+	for status, believed := range map[string]bool{"503 Busy": true, "200 OK": false} {
+		address := peer(t, func(_ int, conn net.Conn) {
+			readRequest(bufio.NewReaderSize(conn, 16))
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"))
+			_ = conn.(*net.TCPConn).CloseRead()
+		})
+		request := get()
+		request.Header.SetMethod(fasthttp.MethodPut)
+		request.SetBodyStream(endless{}, 1<<30)
+		answer := &fasthttp.Response{}
+		pool := NewPool(address, 1, dialTCP)
+		exchange, failure := pool.Do(context.Background(), request, answer)
+		if failure != nil {
+			must.True(t, failure.Sent) // a reset may overtake the answer
+			continue
+		}
+		must.True(t, believed)
+		_ = exchange.Close()
+		must.Eq(t, 0, pool.Open())
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/internal/httplink/pool.go
@@ -0,0 +1,140 @@
+package httplink
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+)
+
+// Limits of a connection.
+const (
+	bufferBytes = 4096             // read and write buffer of one connection
+	idleLimit   = 20 * time.Second // idle connections are closed after this
+)
+
+// Dial opens a connection to an address.
+type Dial func(address string) (net.Conn, error)
+
+// Pool holds the connections to one peer. It is safe for concurrent use.
+type Pool struct {
+	address string
+	dial    Dial
+	limit   int
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	closed bool
+}
+
+// NewPool returns a pool of at most limit connections to address.
+func NewPool(address string, limit int, dial Dial) *Pool {
+	return &Pool{address: address, dial: dial, limit: limit}
+}
+
+// conn notes what the current exchange wrote.
+type conn struct {
+	net.Conn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	written  int64
+	writeErr error
+	idleAt   time.Time
+}
+
+// Write implements io.Writer and counts.
+func (c *conn) Write(p []byte) (int, error) {
+	count, err := c.Conn.Write(p)
+	c.written += int64(count)
+	c.writeErr = err
+	return count, err
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Close closes the idle connections; those in use are closed when they become idle.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) acquire() (*conn, error) {
+	for {
+		c := p.popIdle()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleAt) < idleLimit && quiet(c.Conn) {
+			return c, nil
+		}
+		p.discard(c)
+	}
+	return p.dialNew()
+}
+
+func (p *Pool) popIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) dialNew() (*conn, error) {
+	p.mu.Lock()
+	if p.open >= p.limit {
+		p.mu.Unlock()
+		return nil, ErrPoolFull
+	}
+	p.open++
+	p.mu.Unlock()
+	raw, err := p.dial(p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(c, bufferBytes)
+	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	return c, nil
+}
+
+func (p *Pool) discard(c *conn) {
+	_ = c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// release keeps a connection for the next exchange.
+func (p *Pool) release(c *conn) {
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	keep := !p.closed
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		p.discard(c)
+	}
+}
