Dispatch under floors, deadlines and suspicion

Cause: a queue without floors or bounds on the wait, one deadline for queue and attempt, slots held until the entry had read the answer, no notice of entries that went away, no memory of requests that crash servers, no load reports. Change: - each request waits in the rank queue of its server; waiting ones are refused as soon as the permit for them changes (Gate.Listen, new) or a server has said for 2 s that it is leaving; - an attempt ends at the earliest of deadline, attempt timeout and, in keyed pools, the permit; its connection is closed then and its slot freed even when the entry does not read; - small answers are read whole before the entry sees a byte, and free the slot; - connections of waiting and running requests are watched, an entry that went away cancels the request at the server; - slots fall after shed and slow answers and recover in 2 s; servers that joined or came back start slowly; - package poison: deaths of servers under requests and clearances spread through a topic; suspects run alone, a request that ran alone at its second death is refused. A retry carries the death (reason.Error.Death, wire.HeaderDeath; the entry copies it), so that it runs alone before the news has spread; - shard rates and hottest keys go to the board once a second. In others' packages: reason.ServerTimeout and Error.Death, wire.HeaderDeath, entry retries ServerTimeout like ServerLost and passes Death on, Gate.Listen. Conclusion: request_test.go proves slots, attempt bound, cancel, recheck, short uploads and the two-death bound at one dispatcher; poison and rankqueue have property tests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
@@ -62,6 +63,7 @@
 		directory.New,
 		ownership.NewGate,
 		observe.NewBoard,
+		poison.NewTable,
 		rpc.NewServer,
 		rpc.NewClient,
 		newPlatform,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,7 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/poison"
 )
 
 // ServiceName is the dispatcher's name in the kernel.
@@ -33,15 +35,20 @@
 	metrics   *metrics.Registry
 	journal   *journal.Journal
 	board     *observe.Board
+	poison    *poison.Table
 	log       *zap.Logger
 
-	mu      sync.Mutex
-	servers map[model.ServerRef]*server
+	mu        sync.Mutex // held while servers are replaced
+	servers   atomic.Pointer[map[model.ServerRef]*server]
+	callers   *callers
+	newcomers *newcomers
 
 	listener  net.Listener
 	http      *fasthttp.Server
 	stopWatch context.CancelFunc
 	watchDone chan struct{}
+	// permitsChanged wakes the watch.
+	permitsChanged chan struct{}
 }
 
 // New returns a dispatcher that is not yet started.
@@ -53,9 +60,10 @@
 	registry *metrics.Registry,
 	j *journal.Journal,
 	board *observe.Board,
+	suspects *poison.Table,
 	log *zap.Logger,
 ) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:    c,
 		network:   network,
 		gate:      gate,
@@ -64,9 +72,34 @@
 		journal:   j,
 		board:     board,
 		log:       log.Named(string(ServiceName)),
-		servers:   map[model.ServerRef]*server{},
+		poison:    suspects,
+		callers:   newCallers(),
+		newcomers: newNewcomers(),
 		watchDone: make(chan struct{}),
+
+		permitsChanged: make(chan struct{}, 1),
+	}
+	d.servers.Store(&map[model.ServerRef]*server{})
+	registry.Func("servers", d.loads)
+	gate.Listen(d.wake)
+	return d
+}
+
+// wake lets the watch look at once.
+func (d *Dispatcher) wake() {
+	select {
+	case d.permitsChanged <- struct{}{}:
+	default:
+	}
+}
+
+// loads returns the slots and queues of the permitted servers, for operators.
+func (d *Dispatcher) loads() any {
+	loads := map[string]Load{}
+	for ref, s := range *d.servers.Load() {
+		loads[ref.String()] = s.queue.Load(len(s.config.Load().settings.RankIndex))
 	}
+	return loads
 }
 
 // Name implements kernel.Service.
@@ -84,10 +117,12 @@
 	d.listener = listener
 	d.config.DispatchAddress = listener.Addr().String()
 	d.http = &fasthttp.Server{
-		Handler:               d.handle,
-		StreamRequestBody:     true,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
+		Handler:           d.handle,
+		StreamRequestBody: true,
+		// Forms are passed on as they are, never unpacked to files.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
 	}
 	go func() { _ = d.http.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"os"
 	"strconv"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -32,24 +30,52 @@
 	for {
 		select {
 		case <-ticker.C:
-			d.watchServers()
+			d.callers.look(time.Now())
+			d.poison.Expire(time.Now())
+		case <-d.permitsChanged:
 		case <-ctx.Done():
 			return
 		}
+		d.watchServers()
 	}
 }
 
 func (d *Dispatcher) watchServers() {
+	now := time.Now()
+	snapshot := d.directory.Load()
+	d.newcomers.see(snapshot.Pools, now)
 	permits := d.gate.Permits()
+	d.recheck(now)
 	d.dropServers(permits)
 	for _, permit := range permits {
 		s, refusal := d.serverFor(permit.Server)
-		if refusal == nil && s.health.silent(time.Now()) {
+		if refusal != nil {
+			continue
+		}
+		s.configure(snapshot.Settings, permit.Slots)
+		s.limit.setMax(permit.Slots)
+		s.queue.SetSlots(s.limit.slots(now))
+		if report, due := s.load.report(s.ref, now); due {
+			d.board.SetLoad(report)
+		}
+		if s.health.silent(now) {
 			d.startProbe(s)
 		}
 	}
 }
 
+// recheck refuses the waiting requests that may not be sent any more.
+func (d *Dispatcher) recheck(now time.Time) {
+	for _, s := range *d.servers.Load() {
+		s.queue.Recheck(func(r *request) *reason.Error {
+			if refusal := s.leaving(now); refusal != nil {
+				return refusal
+			}
+			return d.gate.Check(r.work.Server, r.work.Shard, r.work.Epoch, now)
+		})
+	}
+}
+
 // startProbe probes a server unless a probe is under way.
 func (d *Dispatcher) startProbe(s *server) {
 	if !s.health.probing.CompareAndSwap(false, true) {
@@ -88,7 +114,11 @@
 	if string(header.Peek(wire.HeaderDraining)) == "1" {
 		kind = ownership.EvidenceDraining
 	}
-	if s.health.answer(kind, time.Now()) {
+	report, returned := s.health.answer(kind, time.Now())
+	if returned {
+		s.limit.slowStart(time.Now(), slowStart(s.config.Load().pool))
+	}
+	if report {
 		d.report(s.ref, kind, detail)
 	}
 }
@@ -99,19 +129,3 @@
 	s.health.fail(kind)
 	d.report(s.ref, kind, failure.Error())
 }
-
-// evidenceOf tells a silent server from one whose process is gone.
-func evidenceOf(failure *httplink.Failure) ownership.EvidenceKind {
-	if errors.Is(failure, syscall.ECONNREFUSED) {
-		return ownership.EvidenceRefused
-	}
-	if errors.Is(failure, context.DeadlineExceeded) || errors.Is(failure, os.ErrDeadlineExceeded) || timedOut(failure) {
-		return ownership.EvidenceTimeout
-	}
-	return ownership.EvidenceRefused
-}
-
-func timedOut(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/internal/dispatcher/probe_test.go
+++ b/internal/dispatcher/probe_test.go
@@ -17,7 +17,10 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/poison"
+	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/spread"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 )
 
@@ -57,7 +60,9 @@
 	})
 	b.permit(time.Hour)
 	conf := &config.Config{Name: "d1", DispatchAddress: "127.0.0.1:0"}
-	b.dispatcher = New(conf, &netx.Network{}, b.gate, dir, metrics.New(), journal.New("d1"), board, zap.NewNop())
+	network, registry := &netx.Network{}, metrics.New()
+	peers := spread.New(rpc.NewServer(registry), rpc.NewClient(network, registry), zap.NewNop())
+	b.dispatcher = New(conf, network, b.gate, dir, registry, journal.New("d1"), board, poison.NewTable(peers), zap.NewNop())
 	must.NoError(t, b.dispatcher.Start(context.Background()))
 	t.Cleanup(func() { _ = b.dispatcher.Stop(context.Background()) })
 	return b
@@ -113,9 +118,7 @@
 	b.await(t, ownership.EvidenceHealthy)
 	b.gate.Apply(nil)
 	must.Eq(t, 0, b.settle(func() int {
-		b.dispatcher.mu.Lock()
-		defer b.dispatcher.mu.Unlock()
-		return len(b.dispatcher.servers)
+		return len(*b.dispatcher.servers.Load())
 	}, 0))
 	must.Eq(t, 0, b.settle(func() int { return b.server.Stats().Connections }, 0))
 }
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -1,120 +1,175 @@
 package dispatcher
 
 import (
-	"context"
 	"sync"
 	"time"
 
+	"github.com/chicorylug/chicorylug/internal/dispatcher/rankqueue"
 	"github.com/chicorylug/chicorylug/internal/reason"
 )
 
-// Queue hands out the slots of one server, the most urgent rank first.
+// Queue hands out the slots of one server to the goroutines of its requests.
 type Queue struct {
 	peer string
 
-	mu      sync.Mutex
-	slots   int
-	inUse   int
-	limit   int
-	waiting [][]*waiter // by rank index, oldest first
+	mu     sync.Mutex
+	policy *rankqueue.Queue[*Waiter]
 }
 
-type waiter struct {
-	ready chan struct{}
-	gone  bool
+// Waiter is a request that waits for a slot or holds one.
+type Waiter struct {
+	item    rankqueue.Item[*Waiter]
+	verdict chan *reason.Error // nil when a slot was given
+	request *request
 }
 
-// NewQueue returns a queue for a number of ranks; at most limit requests of a rank wait.
-func NewQueue(peer string, ranks, slots, limit int) *Queue {
-	return &Queue{peer: peer, slots: slots, limit: limit, waiting: make([][]*waiter, ranks)}
+// NewQueue returns a queue for the ranks in s.
+func NewQueue(peer string, s rankqueue.Settings) *Queue {
+	return &Queue{peer: peer, policy: rankqueue.New[*Waiter](s, time.Now())}
 }
 
 // SetSlots changes the number of slots.
 func (q *Queue) SetSlots(slots int) {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.slots = slots
-	q.wake()
+	if q.policy.Slots() != slots {
+		q.policy.SetSlots(slots, now)
+	}
+	q.pump(now)
+}
+
+// Configure puts other settings in force.
+func (q *Queue) Configure(s rankqueue.Settings) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.policy.Configure(s, now)
+	q.pump(now)
+}
+
+// Load describes a queue for operators.
+type Load struct {
+	Slots   int   `json:"slots"`
+	InUse   int   `json:"in_use"`
+	Waiting []int `json:"waiting"` // by rank, most urgent first
+}
+
+// Load returns the present load.
+func (q *Queue) Load(ranks int) Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	load := Load{Slots: q.policy.Slots(), InUse: q.policy.InUse()}
+	for rank := range ranks {
+		load.Waiting = append(load.Waiting, q.policy.Waiting(rank))
+	}
+	return load
+}
+
+// full reports that all slots are in use.
+func (q *Queue) full() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.policy.InUse() >= q.policy.Slots()
 }
 
 // Acquire waits for a slot. Release must follow a nil error.
-func (q *Queue) Acquire(ctx context.Context, rank int, deadline time.Time) *reason.Error {
-	w, refusal := q.enter(rank)
-	if refusal != nil || w == nil {
+func (q *Queue) Acquire(r *request) *reason.Error {
+	w := &r.waiter
+	w.request = r
+	w.item = rankqueue.Item[*Waiter]{Value: w, Rank: r.rank, Deadline: r.work.Deadline, Alone: r.alone}
+	waits, refusal := q.enter(w)
+	if refusal != nil || !waits {
 		return refusal
 	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
 	select {
-	case <-w.ready:
-		return nil
-	case <-ctx.Done():
-		return q.leave(w, reason.New(reason.CallerGone, "queue", q.peer, "the request was cancelled while it waited"))
-	case <-timer.C:
-		return q.leave(w, reason.New(reason.DeadlinePassed, "queue", q.peer, "the deadline passed while the request waited"))
+	case refusal := <-w.verdict:
+		return refusal
+	case <-r.ctx.Done():
+		return q.leave(w, r.ended(reason.NotRun, "queue"))
 	}
 }
 
-// enter takes a free slot (nil waiter) or joins the queue.
-func (q *Queue) enter(rank int) (*waiter, *reason.Error) {
+// enter takes a free slot or joins the queue.
+func (q *Queue) enter(w *Waiter) (bool, *reason.Error) {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.inUse < q.slots {
-		q.inUse++
-		return nil, nil
+	if q.policy.Start(&w.item, now) {
+		return false, nil
+	}
+	w.verdict = make(chan *reason.Error, 1)
+	if refusal := q.policy.Offer(&w.item, now); refusal != rankqueue.Accepted {
+		return false, q.refusal(refusal)
+	}
+	q.pump(now)
+	return true, nil
+}
+
+func (q *Queue) refusal(why rankqueue.Refusal) *reason.Error {
+	switch why {
+	case rankqueue.Full:
+		return reason.New(reason.QueueFull, "queue", q.peer, "the queue of the rank is full")
+	case rankqueue.NotAlone:
+		refusal := reason.New(reason.Suspected, "queue", q.peer, "a server crashed while the request ran; it may run only alone and the server is busy")
+		refusal.RetryAfter = suspectRetryAfter
+		return refusal
+	default:
+		return reason.New(reason.DeadlineTooShort, "queue", q.peer, "the request cannot finish before its deadline")
 	}
-	if len(q.waiting[rank]) >= q.limit {
-		return nil, reason.New(reason.QueueFull, "queue", q.peer, "%d requests of the rank wait already", q.limit)
+}
+
+// pump gives out free slots. It runs under the lock.
+func (q *Queue) pump(now time.Time) {
+	for {
+		item, refusal := q.policy.Next(now)
+		if item == nil {
+			return
+		}
+		if refusal == rankqueue.Accepted {
+			item.Value.verdict <- nil
+		} else {
+			item.Value.verdict <- q.refusal(refusal)
+		}
 	}
-	w := &waiter{ready: make(chan struct{})}
-	q.waiting[rank] = append(q.waiting[rank], w)
-	return w, nil
 }
 
 // leave gives up waiting. A slot that came at the same time is passed on.
-func (q *Queue) leave(w *waiter, refusal *reason.Error) *reason.Error {
+func (q *Queue) leave(w *Waiter, refusal *reason.Error) *reason.Error {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	select {
-	case <-w.ready:
-		q.inUse--
-		q.wake()
-	default:
-		w.gone = true
+	if q.policy.Remove(&w.item, now) {
+		q.pump(now)
+		return refusal
+	}
+	if given := <-w.verdict; given != nil {
+		return given
 	}
+	q.policy.Done(&w.item, 0, now)
+	q.pump(now)
 	return refusal
 }
 
-// Release gives a slot back.
-func (q *Queue) Release() {
+// Release gives a slot back after a run of the given time, zero when none was measured.
+func (q *Queue) Release(w *Waiter, service time.Duration) {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.inUse--
-	q.wake()
-}
-
-// wake runs under the lock.
-func (q *Queue) wake() {
-	for q.inUse < q.slots {
-		w := q.pop()
-		if w == nil {
-			return
-		}
-		q.inUse++
-		close(w.ready)
-	}
+	q.policy.Done(&w.item, service, now)
+	q.pump(now)
 }
 
-// pop runs under the lock.
-func (q *Queue) pop() *waiter {
-	for rank := range q.waiting {
-		for len(q.waiting[rank]) > 0 {
-			w := q.waiting[rank][0]
-			q.waiting[rank] = q.waiting[rank][1:]
-			if !w.gone {
-				return w
-			}
+// Recheck refuses the waiting requests for which check returns a refusal.
+func (q *Queue) Recheck(check func(*request) *reason.Error) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.policy.Each(func(item *rankqueue.Item[*Waiter]) {
+		if refusal := check(item.Value.request); refusal != nil {
+			q.policy.Remove(item, now)
+			item.Value.verdict <- refusal
 		}
-	}
-	return nil
+	})
+	q.pump(now)
 }
--- a/internal/dispatcher/rankqueue/rankqueue.go
+++ b/internal/dispatcher/rankqueue/rankqueue.go
@@ -69,6 +69,19 @@
 	return &Queue[T]{settings: s, ranks: make([]rank[T], len(s.FloorPercent)), now: now}
 }
 
+// Configure puts other settings in force. Requests of ranks that are gone keep
+// their place behind the others.
+func (q *Queue[T]) Configure(s Settings, now time.Time) {
+	q.advance(now)
+	for len(s.FloorPercent) < len(q.ranks) {
+		s.FloorPercent = append(s.FloorPercent, 0)
+	}
+	for len(q.ranks) < len(s.FloorPercent) {
+		q.ranks = append(q.ranks, rank[T]{})
+	}
+	q.settings = s
+}
+
 // SetSlots changes the number of slots. Requests that hold a slot keep it.
 func (q *Queue[T]) SetSlots(slots int, now time.Time) {
 	q.advance(now)
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -1,6 +1,12 @@
 package dispatcher
 
 import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/dispatcher/rankqueue"
 	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/ownership"
@@ -8,17 +14,31 @@
 	"github.com/chicorylug/chicorylug/internal/settings"
 )
 
+// Connections to a server besides those that carry requests.
+const probeConnections = 2 // one for probes, one to ask whether the process is gone
+
 // server is what the dispatcher keeps of one backend server.
 type server struct {
 	ref     model.ServerRef
 	address string
+	config  atomic.Pointer[serverConfig]
 	queue   *Queue
-	pool    *httplink.Pool
+	limit   *slotLimit
+	links   *httplink.Pool
 	probes  *httplink.Pool
 	health  health
+	load    *loadMeter
+	crash   crashWatch
+
+	mu      sync.Mutex
+	running map[*request]struct{}
 }
 
-const probeConnections = 1 // connections to a server kept for probes
+// serverConfig is what the settings in force say of a server.
+type serverConfig struct {
+	settings *settings.Compiled
+	pool     *settings.Pool
+}
 
 // serverFor returns the state of a server under its current permit.
 func (d *Dispatcher) serverFor(ref model.ServerRef) (*server, *reason.Error) {
@@ -26,33 +46,85 @@
 	if permit == nil {
 		return nil, reason.New(reason.NotDispatcher, "dispatch", ref.String(), "this daemon does not dispatch to the server")
 	}
+	if s := (*d.servers.Load())[ref]; s != nil && s.address == permit.Address {
+		return s, nil
+	}
 	compiled := d.directory.Load().Settings
 	if compiled == nil || compiled.Pools[ref.Pool] == nil {
 		return nil, reason.New(reason.NotReady, "dispatch", ref.String(), "no settings of the pool are in force")
 	}
+	return d.addServer(permit, compiled), nil
+}
+
+// addServer makes the state of a server, or replaces the one of another address.
+func (d *Dispatcher) addServer(permit *ownership.Permit, compiled *settings.Compiled) *server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.servers[ref]
-	if !ok || s.address != permit.Address {
-		s = d.newServer(permit, compiled)
-		d.servers[ref] = s
+	servers := maps.Clone(*d.servers.Load())
+	if s := servers[permit.Server]; s != nil {
+		if s.address == permit.Address {
+			return s
+		}
+		s.close()
+	}
+	s := newServer(permit, compiled, d.network.Dial, time.Now())
+	if since, isNew := d.newcomers.since(permit.Server); isNew {
+		s.limit.slowStart(since, slowStart(s.config.Load().pool))
 	}
-	s.queue.SetSlots(permit.Slots)
-	return s, nil
+	servers[permit.Server] = s
+	d.servers.Store(&servers)
+	return s
 }
 
-func (d *Dispatcher) newServer(permit *ownership.Permit, compiled *settings.Compiled) *server {
+func newServer(permit *ownership.Permit, compiled *settings.Compiled, dial httplink.Dial, now time.Time) *server {
 	pool := compiled.Pools[permit.Server.Pool]
-	return &server{
+	s := &server{
 		ref:     permit.Server,
 		address: permit.Address,
-		queue:   NewQueue(permit.Server.String(), len(compiled.RankIndex), permit.Slots, pool.QueuePerRank),
-		pool:    httplink.NewPool(permit.Address, max(pool.Connections-probeConnections, 1), d.network.Dial),
-		probes:  httplink.NewPool(permit.Address, probeConnections, d.network.Dial),
+		queue:   NewQueue(permit.Server.String(), queueSettings(permit.Slots, pool, compiled)),
+		limit:   newSlotLimit(permit.Slots, now),
+		links:   httplink.NewPool(permit.Address, linksTo(pool), dial),
+		probes:  httplink.NewPool(permit.Address, 1, dial),
+		load:    newLoadMeter(now),
+		running: map[*request]struct{}{},
+	}
+	s.config.Store(&serverConfig{settings: compiled, pool: pool})
+	return s
+}
+
+// linksTo returns the number of connections that may carry requests to a server.
+func linksTo(pool *settings.Pool) int { return max(pool.Connections-probeConnections, 1) }
+
+func queueSettings(slots int, pool *settings.Pool, compiled *settings.Compiled) rankqueue.Settings {
+	floors := make([]int, 0, len(compiled.Tree.Fleet.Ranks))
+	for _, rank := range compiled.Tree.Fleet.Ranks {
+		floors = append(floors, rank.FloorPercent)
+	}
+	return rankqueue.Settings{Slots: slots, FloorPercent: floors, Limit: pool.QueuePerRank}
+}
+
+func slowStart(pool *settings.Pool) time.Duration {
+	return time.Duration(pool.SlowStartMS) * time.Millisecond
+}
+
+// configure puts other settings in force.
+func (s *server) configure(compiled *settings.Compiled, slots int) {
+	pool := compiled.Pools[s.ref.Pool]
+	if pool == nil || s.config.Load().settings == compiled {
+		return
 	}
+	s.queue.Configure(queueSettings(slots, pool, compiled))
+	s.links.SetLimit(linksTo(pool))
+	s.config.Store(&serverConfig{settings: compiled, pool: pool})
 }
 
-// dropServers forgets the servers for which no permit is held.
+func (s *server) close() {
+	s.links.Close()
+	s.probes.Close()
+}
+
+// dropServers forgets the servers for which no permit is held. Requests in
+// progress keep the state that they began with.
 func (d *Dispatcher) dropServers(permits []*ownership.Permit) {
 	held := make(map[model.ServerRef]string, len(permits))
 	for _, permit := range permits {
@@ -60,13 +132,68 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for ref, s := range d.servers {
+	before := *d.servers.Load()
+	kept := make(map[model.ServerRef]*server, len(before))
+	for ref, s := range before {
 		if address, ok := held[ref]; ok && address == s.address {
+			kept[ref] = s
 			continue
 		}
-		delete(d.servers, ref)
-		s.pool.Close()
-		s.probes.Close()
+		s.close()
 		d.board.Forget(ref)
 	}
+	if len(kept) != len(before) {
+		d.servers.Store(&kept)
+	}
+}
+
+// add notes a request that is about to be sent.
+func (s *server) add(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[r] = struct{}{}
+}
+
+func (s *server) remove(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r)
+}
+
+// newcomers tells servers that joined their pool while this daemon watched from
+// those that were there before.
+type newcomers struct {
+	mu    sync.Mutex
+	pools map[model.PoolName]map[model.ServerID]time.Time // zero for servers that were there first
+}
+
+func newNewcomers() *newcomers {
+	return &newcomers{pools: map[model.PoolName]map[model.ServerID]time.Time{}}
+}
+
+// see takes the assignments of this moment.
+func (n *newcomers) see(pools map[model.PoolName]*ownership.Assignment, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, assignment := range pools {
+		known, seen := n.pools[name]
+		next := make(map[model.ServerID]time.Time, len(assignment.Servers))
+		for i := range assignment.Servers {
+			id := assignment.Servers[i].ID
+			since, was := known[id]
+			if seen && !was {
+				since = now
+			}
+			next[id] = since
+		}
+		n.pools[name] = next
+	}
+}
+
+// since returns when a server joined, and false when it was there before.
+func (n *newcomers) since(ref model.ServerRef) (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	since := n.pools[ref.Pool][ref.Server]
+	return since, !since.IsZero()
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -30,6 +30,7 @@
 		if refusal == nil {
 			return nil
 		}
+		c.work.Death = refusal.Death
 		kind := c.retryKind(refusal)
 		if kind == retryNever {
 			return refusal
@@ -76,7 +77,7 @@
 			return retryFree
 		}
 		return c.ifIdempotent()
-	case reason.ServerLost, reason.ShortAnswer, reason.DigestMismatch:
+	case reason.ServerLost, reason.ServerTimeout, reason.ShortAnswer, reason.DigestMismatch:
 		return c.ifIdempotent()
 	default:
 		return retryNever
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -163,6 +163,10 @@
 	return err
 }
 
+// Abort closes the connection. Unlike the other methods it may be called while
+// another goroutine reads.
+func (e *Exchange) Abort() { _ = e.conn.Close() }
+
 // Close ends the exchange. The connection is reused only when the request was
 // sent whole, the body was read to its end, nothing follows it, and the peer
 // keeps the connection open.
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -33,6 +33,13 @@
 	return &Pool{address: address, dial: dial, limit: limit}
 }
 
+// SetLimit changes the limit. Connections above it are closed when they are free.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
 // conn notes what the current exchange wrote.
 type conn struct {
 	net.Conn
@@ -129,7 +136,7 @@
 func (p *Pool) release(c *conn) {
 	c.idleAt = time.Now()
 	p.mu.Lock()
-	keep := !p.closed
+	keep := !p.closed && p.open <= p.limit
 	if keep {
 		p.idle = append(p.idle, c)
 	}
--- a/internal/ownership/gate.go
+++ b/internal/ownership/gate.go
@@ -29,8 +29,9 @@
 // has returned, no request passes under the earlier permits, and Busy names the
 // ones that passed before and are not done.
 type Gate struct {
-	mu      sync.Mutex
-	servers map[model.ServerRef]*gateServer
+	mu       sync.Mutex
+	servers  map[model.ServerRef]*gateServer
+	listener func()
 }
 
 type gateServer struct {
@@ -44,8 +45,21 @@
 	return &Gate{servers: map[model.ServerRef]*gateServer{}}
 }
 
+// Listen calls f after each change of the permits. f must not block.
+func (g *Gate) Listen(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener = f
+}
+
 // Apply replaces the permits of a daemon. Servers without a permit are closed.
 func (g *Gate) Apply(permits []*Permit) {
+	if listener := g.apply(permits); listener != nil {
+		listener()
+	}
+}
+
+func (g *Gate) apply(permits []*Permit) func() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.servers {
@@ -54,6 +68,7 @@
 	for _, permit := range permits {
 		g.server(permit.Server).permit = permit
 	}
+	return g.listener
 }
 
 // server runs under the lock.
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -38,6 +38,7 @@
 	ServerDraining     Code = "server_draining"
 	ServerUnreachable  Code = "server_unreachable"
 	ServerLost         Code = "server_lost"
+	ServerTimeout      Code = "server_timeout"
 	ServerRefusedGrant Code = "server_refused_grant"
 	DispatcherLost     Code = "dispatcher_lost"
 	ShortAnswer        Code = "short_answer"
@@ -89,6 +90,9 @@
 	Epoch model.Epoch `json:"epoch,omitempty"`
 	// Seq is the assignment version that the refusing daemon knows.
 	Seq model.Seq `json:"seq,omitempty"`
+	// Death names the death of a server under which the request ran. A retry
+	// carries it, so that the next dispatcher runs the request alone.
+	Death string `json:"death,omitempty"`
 }
 
 // New returns an error for a request that provably did not run.
@@ -170,7 +174,7 @@
 		return 429
 	case OutcomeUnknown, ServerLost, ShortAnswer, DispatcherLost:
 		return 502
-	case DeadlinePassed, DeadlineTooShort:
+	case DeadlinePassed, DeadlineTooShort, ServerTimeout:
 		return 504
 	case Internal:
 		return 500
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,6 +32,8 @@
 	HeaderRoute = "X-Chicorylug-Route"
 	// HeaderOnce is "1" on requests that may run at most once.
 	HeaderOnce = "X-Chicorylug-Once"
+	// HeaderDeath names the death of a server under which an earlier attempt ran.
+	HeaderDeath = "X-Chicorylug-Death"
 )
 
 // Prefixes of headers that only daemons and backend servers set. They are
--- a/internal/wire/work.go
+++ b/internal/wire/work.go
@@ -26,6 +26,8 @@
 	Deadline    time.Time
 	// Trace asks each daemon on the way to keep the steps of the request.
 	Trace bool
+	// Death names the death of a server under which an earlier attempt ran.
+	Death string
 }
 
 // Write sets the headers.
@@ -46,6 +48,9 @@
 	if w.Trace {
 		h.Set(HeaderTrace, "1")
 	}
+	if w.Death != "" {
+		h.Set(HeaderDeath, w.Death)
+	}
 	if w.Idempotency != "" {
 		h.Set(HeaderIdempotencyKey, w.Idempotency)
 	}
@@ -67,6 +72,7 @@
 		Idempotency: r.optional(HeaderIdempotencyKey),
 		Deadline:    time.UnixMilli(r.signed(HeaderDeadline, 64)),
 		Trace:       r.optional(HeaderTrace) == "1",
+		Death:       r.optional(HeaderDeath),
 	}
 	return w, r.err
 }
