--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/dispatcher"
 	"github.com/chicorylug/chicorylug/internal/entry"
+	"github.com/chicorylug/chicorylug/internal/inspect"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/member"
@@ -28,6 +29,7 @@
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
+	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // Daemon is one chicorylugd.
@@ -64,6 +66,8 @@
 		ownership.NewGate,
 		observe.NewBoard,
 		poison.NewTable,
+		tally.New,
+		inspect.New,
 		rpc.NewServer,
 		rpc.NewClient,
 		newPlatform,
