--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/creachadair/jrpc2"
@@ -117,6 +118,9 @@
 	mu     sync.Mutex
 	client *jrpc2.Client
 	conn   net.Conn
+	// ended says that the client has stopped. The client's own question for it
+	// waits for a write that is under way, and so for a peer that reads nothing.
+	ended *atomic.Bool
 }
 
 // NewClient returns a client that dials through the network.
@@ -180,7 +184,7 @@
 func (p *peer) connect(c *Client, address string) (*jrpc2.Client, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.client != nil && !p.client.IsStopped() {
+	if p.client != nil && !p.ended.Load() {
 		return p.client, nil
 	}
 	conn, err := c.network.Dial(address)
@@ -189,7 +193,11 @@
 	}
 	metered := &meteredConn{Conn: conn, meter: c.meter}
 	p.conn = conn
-	p.client = jrpc2.NewClient(channel.Line(metered, metered), nil)
+	ended := &atomic.Bool{}
+	p.ended = ended
+	p.client = jrpc2.NewClient(channel.Line(metered, metered), &jrpc2.ClientOptions{
+		OnStop: func(*jrpc2.Client, error) { ended.Store(true) },
+	})
 	return p.client, nil
 }
 
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -90,3 +90,29 @@
 	_, err = rpc.Call[answer](context.Background(), client(t, &netx.Network{}), address, next, &question{Term: 1})
 	must.ErrorContains(t, err, "next: dial "+address)
 }
+
+// A call whose write does not end must not hold up others to the same peer
+// beyond their own deadlines.
+func TestCallsToACutPeerAllEnd(t *testing.T) {
+	address, _ := serve(t)
+	network := &netx.Network{}
+	c := client(t, network)
+	ask := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := rpc.Call[answer](ctx, c, address, next, &question{Term: 1})
+		return err
+	}
+	must.NoError(t, ask(time.Minute))
+	network.SetFaults(netx.Faults{Blocked: []string{address}})
+	results := make(chan error)
+	for i := range 8 {
+		go func() {
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			results <- ask(200 * time.Millisecond)
+		}()
+	}
+	for range 8 {
+		must.Error(t, <-results)
+	}
+}
