--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -134,11 +134,18 @@
 		ConnState:          s.trackConn,
 		MaxRequestBodySize: 1 << 30,
 		Concurrency:        4096,
+		Logger:             noLog{},
 	}
 	go func() { _ = s.http.Serve(listener) }()
 	return nil
 }
 
+// noLog drops what the HTTP library logs of connections that daemons abandon.
+type noLog struct{}
+
+// Printf implements fasthttp.Logger.
+func (noLog) Printf(string, ...any) {}
+
 func (s *Server) trackConn(conn net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
