--- a/internal/experiment/path.go
+++ b/internal/experiment/path.go
@@ -17,6 +17,7 @@
 	pathKeys     = 10_000
 	pathWarmUp   = time.Second
 	pathRoute    = "/experiment/path/"
+	pathSlots    = 64 // of each server, so that bursts do not wait for slots
 )
 
 // pathRates are the offered loads, in requests a second.
@@ -44,6 +45,7 @@
 	d.addRoute(&settings.Route{
 		Name: "experiment-path", Methods: []string{"GET"}, Path: pathRoute + "{key}", Rank: d.tree.Fleet.Ranks[0].Name,
 	})
+	d.teamOf().Pools[d.keyed].Slots = pathSlots
 	options, err := d.fleetOptions(0)
 	if err != nil {
 		return err
@@ -68,6 +70,10 @@
 	return measurePath(ctx, o, r, f, d)
 }
 
+func microseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/float64(time.Microsecond))
+}
+
 // startDaemons adds daemons and waits until all are ready.
 func startDaemons(ctx context.Context, f *fleet.Fleet, count int) error {
 	for range count {
@@ -98,7 +104,8 @@
 	_ = pathPhase(ctx, arrivals{rate: pathRates[0], duration: pathWarmUp, seed: o.Seed}, direct)
 	_ = pathPhase(ctx, arrivals{rate: pathRates[0], duration: pathWarmUp, seed: o.Seed}, routed)
 	t := r.table("Direct call against one entry and the dispatchers, answers of 200 bytes at most",
-		"offered/s", "direct p50", "direct p99", "routed p50", "routed p99", "added p50", "added p99", "added CPU us/request", "requests/s per core", "failed")
+		"offered/s", "direct p50", "direct p99", "routed p50", "routed p99", "added p50", "added p99",
+		"direct CPU us/request", "added CPU us/request", "requests/s per core", "failed")
 	line := Line{Name: "added p99"}
 	for _, rate := range pathRates {
 		o.progress("path at %.0f requests a second", rate)
@@ -110,13 +117,15 @@
 		p99 := through.latencies.quantile(99) - plain.latencies.quantile(99)
 		t.add(rate, plain.latencies.quantile(50), plain.latencies.quantile(99),
 			through.latencies.quantile(50), through.latencies.quantile(99), p50, p99,
-			fmt.Sprintf("%.1f", float64(added)/float64(time.Microsecond)), float64(time.Second)/float64(max(1, added)),
+			microseconds(plain.perRequest()), microseconds(added), float64(time.Second)/float64(max(1, added)),
 			plain.failed.Load()+through.failed.Load())
 		line.X = append(line.X, rate)
 		line.Y = append(line.Y, float64(p99)/float64(time.Millisecond))
 	}
 	r.Figure = &Figure{Title: "Added latency of entry and dispatcher", X: "requests a second", Y: "ms", Series: []Line{line}}
+	r.note("refusals: %s; retries: %s", counted(f, "refusals"), counted(f, "retries"))
 	r.note("processor time is that of the whole process, routed minus direct: entry plus dispatcher, their part of garbage collection included")
+	r.note("servers have %d slots and the direct call no limit, so that queues for slots are no part of the added latency", pathSlots)
 	r.note("no delay between zones is emulated; all runs in one process, and other work on the machine adds to the latencies")
 	return ctx.Err()
 }
