Scenarios of operators: bad input, team boundary, tokens and TLS, explain, quickstart

Cause: none of these was guarded. Names that stand twice are reported in the changed subtree. The fleet's view also asks listed daemons that were not heard of yet.

--- a/internal/inspect/gather.go
+++ b/internal/inspect/gather.go
@@ -32,11 +32,10 @@
 func gather[Req, Resp any](ctx context.Context, i *Inspector, method rpc.Method, request *Req, own func(context.Context, *Req) (*Resp, error)) Answers[Resp] {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	known, unheard := i.daemons()
-	answers := Answers[Resp]{ByDaemon: map[model.DaemonID]Resp{}, Silent: unheard}
+	answers := Answers[Resp]{ByDaemon: map[model.DaemonID]Resp{}}
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	for _, daemon := range known {
+	for _, daemon := range i.daemons() {
 		all.Add(1)
 		go func() {
 			defer all.Done()
@@ -62,20 +61,19 @@
 	return rpc.Call[Resp](ctx, i.client, daemon.Control, method, request)
 }
 
-// daemons returns the daemons whose addresses are known, and those that are
-// listed but were never heard of.
-func (i *Inspector) daemons() ([]directory.Daemon, []Silent) {
+// daemons returns all daemons that are listed or known. The list gives the
+// control address of those that were not heard of yet.
+func (i *Inspector) daemons() []directory.Daemon {
 	members := i.member.Members()
 	known := make([]directory.Daemon, 0, len(members.Daemons))
 	for _, daemon := range members.Daemons {
 		known = append(known, daemon)
 	}
-	var unheard []Silent
 	for _, instance := range members.Instances {
 		id := model.DaemonID(instance.ID)
 		if _, ok := members.Daemons[id]; instance.Kind == platform.KindDaemon && !ok {
-			unheard = append(unheard, Silent{Daemon: id, Why: "listed, but not heard of yet"})
+			known = append(known, directory.Daemon{ID: id, Zone: instance.Zone, Control: instance.Address})
 		}
 	}
-	return known, unheard
+	return known
 }
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -29,7 +29,10 @@
 // Team returns the team whose subtree the scope names.
 func (s Scope) Team() (model.TeamName, bool) {
 	name, ok := strings.CutPrefix(string(s), teamPrefix)
-	return model.TeamName(name), ok
+	if !ok {
+		return "", false
+	}
+	return model.TeamName(name), true
 }
 
 // Valid reports that the scope names a part of a tree.
@@ -97,6 +100,7 @@
 			return nil, err
 		}
 	}
+	env.changed, _ = r.Scope.Team()
 	if _, err := Validate(r.File, merged, env); err != nil {
 		return nil, r.relocate(own, err)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,9 @@
 	// Servers counts the live servers of each pool on the instance list; nil
 	// when the list is not known, and targets are then not checked.
 	Servers map[model.PoolName]int
+	// changed is the team whose subtree is new. Names that stand twice are
+	// reported there.
+	changed model.TeamName
 }
 
 // Validate reads a tree and checks schema and meaning. The error is of type
@@ -83,10 +86,23 @@
 	c.poolTeams = map[model.PoolName]model.TeamName{}
 	c.routes = routeIndex{}
 	c.ranks()
-	// The order of the text keeps reports stable.
+	for _, name := range c.teamNames() {
+		c.team(name, c.tree.Teams[name])
+	}
+}
+
+// teamNames returns the teams in the order of the text, the changed one last.
+func (c *check) teamNames() []model.TeamName {
+	var names []model.TeamName
 	for _, name := range c.doc.Names(path{"teams"}) {
-		c.team(model.TeamName(name), c.tree.Teams[model.TeamName(name)])
+		if model.TeamName(name) != c.env.changed {
+			names = append(names, model.TeamName(name))
+		}
+	}
+	if _, ok := c.tree.Teams[c.env.changed]; ok {
+		names = append(names, c.env.changed)
 	}
+	return names
 }
 
 func (c *check) name(where path, name string) {
--- a/scenarios/cmd_operators_test.go
+++ b/scenarios/cmd_operators_test.go
@@ -14,6 +14,8 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,12 @@
 	commands["in-force"] = cmdInForce
 	commands["versions"] = cmdVersions
 	commands["race"] = cmdRace
+	commands["env-config"] = cmdEnvConfig
+	commands["last-request"] = cmdLastRequest
+	commands["quickstart"] = cmdQuickstart
+	commands["listening"] = cmdListening
+	commands["no-token-in-logs"] = cmdNoTokenInLogs
+	commands["refuse-edits"] = cmdRefuseEdits
 }
 
 const tokenLength = 32 // characters of a scenario's tokens
@@ -127,11 +135,21 @@
 	}
 }
 
+// tool returns a run of the operators' tool with the script's environment.
+func (w *world) tool(ts *testscript.TestScript, args ...string) *exec.Cmd {
+	cmd := exec.Command(w.program("chicorylug"), args...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = os.Environ()
+	for _, name := range []string{"CHICORYLUG_TOKEN", "CHICORYLUG_ADMIN", "CHICORYLUG_CA_FILE"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	return cmd
+}
+
 // fleetView asks a daemon for the view of all, by the tool.
 func (w *world) fleetView(ts *testscript.TestScript, d *process) (inspect.Fleet, error) {
 	var view inspect.Fleet
-	cmd := exec.Command(w.program("chicorylug"), "status", "--json", "--admin", d.conf.AdminAddress)
-	cmd.Env = append(os.Environ(), "CHICORYLUG_TOKEN="+ts.Getenv("CHICORYLUG_TOKEN"))
+	cmd := w.tool(ts, "status", "--json", "--admin", d.conf.AdminAddress)
 	out, err := cmd.Output()
 	if len(out) == 0 {
 		return view, err
@@ -244,10 +262,8 @@
 	outputs := make([]bytes.Buffer, len(codes))
 	var all sync.WaitGroup
 	for i, file := range args[2:] {
-		cmd := exec.Command(w.program("chicorylug"), "settings", "set", args[0], "--base", args[1], ts.MkAbs(file))
-		cmd.Env = append(os.Environ(),
-			"CHICORYLUG_TOKEN="+ts.Getenv("CHICORYLUG_TOKEN"),
-			"CHICORYLUG_ADMIN="+w.daemons[i%len(w.daemons)].conf.AdminAddress)
+		asked := w.daemons[i%len(w.daemons)].conf.AdminAddress
+		cmd := w.tool(ts, "settings", "set", args[0], "--base", args[1], "--admin", asked, file)
 		cmd.Stderr = &outputs[i]
 		all.Add(1)
 		go func() {
@@ -270,3 +286,102 @@
 		ts.Fatalf("%d changes were accepted, want 1", accepted)
 	}
 }
+
+// cmdRefuseEdits tries each line of a file as an edit of the whole tree, wants it
+// refused as invalid, and wants file, line and column, the path and a text in the message:
+//
+//	refuse-edits FILE AT-LEAST      lines of PATH | VALUE | PATH IN THE MESSAGE | TEXT
+func cmdRefuseEdits(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	place := regexp.MustCompile(`edit:\d+:\d+: `)
+	lines := strings.Split(strings.TrimSpace(ts.ReadFile(args[0])), "\n")
+	if least := number(ts, args, 1); len(lines) < least {
+		ts.Fatalf("%d edits, want %d", len(lines), least)
+	}
+	for _, line := range lines {
+		fields := strings.Split(line, " | ")
+		if len(fields) != 4 {
+			ts.Fatalf("want PATH | VALUE | PATH | TEXT: %s", line)
+		}
+		cmd := w.tool(ts, "settings", "edit", "--", fields[0], fields[1])
+		out, _ := cmd.CombinedOutput()
+		text := string(out)
+		if cmd.ProcessState.ExitCode() != 1 || !place.MatchString(text) || !strings.Contains(text, fields[2]) || !strings.Contains(text, fields[3]) {
+			ts.Fatalf("%s: exit code %d: %s", line, cmd.ProcessState.ExitCode(), text)
+		}
+	}
+}
+
+// cmdListening waits until the admin addresses of daemons take connections:
+//
+//	listening DAEMON...
+func cmdListening(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		address := w.daemon(ts, name).conf.AdminAddress
+		await(ts, awaitTimeout, "admin address of "+name, func() error {
+			conn, err := net.DialTimeout("tcp", address, callTimeout)
+			if err != nil {
+				return err
+			}
+			return conn.Close()
+		})
+	}
+}
+
+// cmdNoTokenInLogs looks for the tokens of operators in the daemons' logs:
+//
+//	no-token-in-logs NAME...
+func cmdNoTokenInLogs(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	for _, d := range w.daemons {
+		log, err := os.ReadFile(d.log)
+		ts.Check(err)
+		for _, name := range args {
+			if bytes.Contains(log, []byte(token(name))) {
+				ts.Fatalf("the log of %s holds the token of %s", d.name, name)
+			}
+		}
+	}
+}
+
+// cmdLastRequest sets a variable to the id of the newest request that was answered:
+//
+//	last-request VARIABLE
+func cmdLastRequest(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	seen := w.seen()
+	if len(seen) == 0 || seen[len(seen)-1].Request == "" {
+		ts.Fatalf("no request was answered")
+	}
+	ts.Setenv(args[0], string(seen[len(seen)-1].Request))
+}
+
+// examples is the folder of the example settings.
+const examples = "../examples"
+
+// cmdQuickstart starts the example installation on the scenario's own addresses
+// as daemon "quickstart" and waits until it is ready:
+//
+//	quickstart
+func cmdQuickstart(w *world, ts *testscript.TestScript, _ bool, _ []string) {
+	text, err := os.ReadFile(filepath.Join(examples, "quickstart.jsonc"))
+	ts.Check(err)
+	own, _, _ := net.SplitHostPort(w.address(1, callerPort))
+	file := ts.MkAbs("quickstart.jsonc")
+	ts.Check(os.WriteFile(file, bytes.ReplaceAll(text, []byte("127.0.0.1"), []byte(own)), 0o644))
+	tree, err := os.ReadFile(filepath.Join(examples, "lagos.jsonc"))
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("lagos.jsonc"), tree, 0o644))
+	conf, err := config.Load(file)
+	ts.Check(err)
+	d := &process{name: "quickstart", args: []string{"--config", file}, log: ts.MkAbs("quickstart.log"), conf: *conf}
+	w.daemons = append(w.daemons, d)
+	ts.Check(w.start(d, "chicorylugd"))
+	w.awaitReady(ts)
+}
+
+// cmdEnvConfig moves a daemon's settings file to the scenario's own addresses:
+//
+//	env-config FILE
+func cmdEnvConfig(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	own, _, _ := net.SplitHostPort(w.address(1, callerPort))
+	text := strings.ReplaceAll(ts.ReadFile(args[0]), "127.0.0.1", own)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644))
+}
