--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,7 +29,6 @@
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
-	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // Daemon is one chicorylugd.
@@ -66,7 +65,6 @@
 		ownership.NewGate,
 		observe.NewBoard,
 		poison.NewTable,
-		tally.New,
 		inspect.New,
 		rpc.NewServer,
 		rpc.NewClient,
--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -10,6 +10,7 @@
 	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/tally"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -22,6 +23,7 @@
 	}
 	r := d.newRequest(ctx, work)
 	if refusal := r.run(); refusal != nil {
+		r.refused = true
 		refusal.RequestID = work.Request
 		r.trace("refused", refusal.Error())
 		d.refuse(ctx, refusal)
@@ -35,6 +37,7 @@
 	r := &request{dispatcher: d, http: ctx, conn: ctx.Conn(), work: work, arrived: time.Now()}
 	cancellable, cancel := context.WithCancelCause(context.Background())
 	r.cancel = cancel
+	r.tallied = d.metrics.Tally().Begin(tally.Subject{Pool: work.Server.Pool, Server: work.Server.Server})
 	r.ctx, r.endDeadline = context.WithDeadline(cancellable, work.Deadline)
 	return r
 }
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -49,6 +49,8 @@
 	unhook     func() bool
 	endAttempt context.CancelFunc
 	freeOnce   sync.Once
+	tallied    func(refused bool) // counts the end of the request
+	refused    bool
 	streams    bool // the answer's body is read after the handler returned
 }
 
@@ -254,6 +256,7 @@
 
 // end frees what the request itself holds.
 func (r *request) end() {
+	r.tallied(r.refused)
 	r.dispatcher.callers.remove(r)
 	r.cancel(nil)
 	r.endDeadline()
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -11,6 +11,7 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/tally"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -28,6 +29,8 @@
 	// context ends at the deadline, and early when the caller is gone.
 	context context.Context
 	cancel  context.CancelFunc
+	tallied func(refused bool) // counts the end of the call
+	refused bool
 	streams bool // the answer's body is read after the handler returned
 }
 
@@ -77,11 +80,15 @@
 		return id, refusal
 	}
 	rank := e.admission.rank(found.rank)
+	tallied := e.metrics.Tally().Begin(tally.Subject{Pool: found.route.Pool, Rank: found.route.Rank})
 	if refusal := rank.enter(); refusal != nil {
+		tallied(true)
 		return id, refusal
 	}
 	c := e.newCall(ctx, found, id)
+	c.tallied = tallied
 	answeredAs, refusal := c.run()
+	c.refused = refusal != nil
 	if !c.streams {
 		c.end()
 	}
@@ -212,6 +219,7 @@
 
 // end gives back what the call took.
 func (c *call) end() {
+	c.tallied(c.refused)
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -11,6 +11,7 @@
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/member"
+	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/rpc"
@@ -44,7 +45,7 @@
 	dir *directory.Directory,
 	store *settingstore.Store,
 	j *journal.Journal,
-	t *tally.Tally,
+	registry *metrics.Registry,
 	server *rpc.Server,
 	client *rpc.Client,
 ) *Inspector {
@@ -54,7 +55,7 @@
 		directory: dir,
 		settings:  store,
 		journal:   j,
-		tally:     t,
+		tally:     registry.Tally(),
 		client:    client,
 		started:   time.Now(),
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // Registry holds the counters and gauges of one daemon.
@@ -19,11 +20,12 @@
 
 	refusals *expvar.Map
 	retries  *expvar.Map
+	tally    *tally.Tally
 }
 
 // New returns an empty registry with the refusal and retry maps in place.
 func New() *Registry {
-	r := &Registry{}
+	r := &Registry{tally: tally.New()}
 	r.vars.Init()
 	r.refusals = r.Map("refusals")
 	r.retries = r.Map("retries")
@@ -61,6 +63,9 @@
 	r.vars.Set(name, expvar.Func(f))
 }
 
+// Tally returns the counters by pool, rank and server.
+func (r *Registry) Tally() *tally.Tally { return r.tally }
+
 // Refused counts one refusal by its reason.
 func (r *Registry) Refused(code reason.Code) {
 	r.refusals.Add(string(code), 1)
