--- /dev/null
+++ b/internal/ownership/ack.go
@@ -0,0 +1,39 @@
+package ownership
+
+import (
+	"slices"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Ack is a dispatcher's statement of the assignment that it applied and of the
+// work that may still run under earlier ones.
+type Ack struct {
+	Daemon      model.DaemonID    `json:"daemon"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Seq         model.Seq         `json:"seq"`
+	// Unquiet lists the shards of each server on which a request of this
+	// dispatcher may still run.
+	Unquiet []ServerShards `json:"unquiet,omitempty"`
+}
+
+// ServerShards names shards at one server.
+type ServerShards struct {
+	Server model.ServerID  `json:"server"`
+	Shards []model.ShardID `json:"shards"`
+}
+
+// Quiet reports that no request on the shard may still run at the server.
+func (a *Ack) Quiet(server model.ServerID, shard model.ShardID) bool {
+	for _, unquiet := range a.Unquiet {
+		if unquiet.Server == server && slices.Contains(unquiet.Shards, shard) {
+			return false
+		}
+	}
+	return true
+}
+
+// Idle reports that no request at all may still run at the server.
+func (a *Ack) Idle(server model.ServerID) bool {
+	return !slices.ContainsFunc(a.Unquiet, func(u ServerShards) bool { return u.Server == server })
+}
--- a/internal/ownership/assignment.go
+++ b/internal/ownership/assignment.go
@@ -13,6 +13,8 @@
 	Term  model.Term     `json:"term"`
 	Seq   model.Seq      `json:"seq"`
 	Keyed bool           `json:"keyed"`
+	// Coordinator is the holder of the control lease that wrote the assignment.
+	Coordinator Coordinator `json:"coordinator"`
 	// Shards is indexed by shard id. The first FixedShards are reached by hash,
 	// the rest hold one hot key each.
 	Shards      []Shard `json:"shards,omitempty"`
@@ -22,18 +24,32 @@
 	Servers []Server `json:"servers"`
 }
 
+// Coordinator is the daemon that controls a pool.
+type Coordinator struct {
+	Daemon      model.DaemonID    `json:"daemon"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	// Control is host:port for control calls.
+	Control string `json:"control"`
+}
+
 // Shard is the ownership of one shard.
 type Shard struct {
 	Server model.ServerID `json:"server"`
 	Epoch  model.Epoch    `json:"epoch"`
 	// Next is the server that the shard moves to; empty when it does not move.
 	Next model.ServerID `json:"next,omitempty"`
+	// Since is the sequence number under which the move began; zero when it does not move.
+	Since model.Seq `json:"since,omitempty"`
 }
 
 // HotKey gives one key a shard of its own.
 type HotKey struct {
 	Hash  uint64        `json:"hash"`
 	Shard model.ShardID `json:"shard"`
+	// Parent is the shard that the key was split out of.
+	Parent model.ShardID `json:"parent"`
+	// Pending says that the parent still drains and the key is still reached by hash.
+	Pending bool `json:"pending,omitempty"`
 }
 
 // ServerState is the coordinator's decision on a server.
@@ -61,7 +77,6 @@
 // States of dispatchers. A retiring one may still send until it is known to have stopped.
 const (
 	DispatcherActive   DispatcherState = "active"
-	DispatcherStandby  DispatcherState = "standby"
 	DispatcherRetiring DispatcherState = "retiring"
 )
 
@@ -71,6 +86,8 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 	Zone        model.Zone        `json:"zone"`
 	State       DispatcherState   `json:"state"`
+	// Since is the sequence number under which the dispatcher got its state.
+	Since model.Seq `json:"since"`
 	// Slots is the number of requests that this dispatcher may have at the server at one time.
 	Slots int `json:"slots"`
 	// Dispatch is host:port for requests; Control is host:port for control calls.
@@ -88,7 +105,7 @@
 	}
 	hash := HashKey(key)
 	for _, hot := range a.HotKeys {
-		if hot.Hash == hash {
+		if hot.Hash == hash && !hot.Pending {
 			return hot.Shard
 		}
 	}
--- a/internal/ownership/gate.go
+++ b/internal/ownership/gate.go
@@ -37,6 +37,9 @@
 	permit   *Permit
 	inFlight map[model.ShardID]int
 	tickets  map[*Ticket]struct{}
+	// tails gives the end of what the server may still run of requests that
+	// were given up before their answer was whole.
+	tails map[model.ShardID]time.Time
 }
 
 // NewGate returns a gate without permits.
@@ -60,7 +63,7 @@
 func (g *Gate) server(ref model.ServerRef) *gateServer {
 	s, ok := g.servers[ref]
 	if !ok {
-		s = &gateServer{inFlight: map[model.ShardID]int{}, tickets: map[*Ticket]struct{}{}}
+		s = &gateServer{inFlight: map[model.ShardID]int{}, tickets: map[*Ticket]struct{}{}, tails: map[model.ShardID]time.Time{}}
 		g.servers[ref] = s
 	}
 	return s
@@ -125,14 +128,17 @@
 
 // Ticket is a request that passed the gate and is not done.
 type Ticket struct {
-	gate   *Gate
-	server *gateServer
-	shard  model.ShardID
-	until  time.Time
-	lost   context.CancelCauseFunc
+	gate     *Gate
+	server   *gateServer
+	shard    model.ShardID
+	until    time.Time
+	deadline time.Time
+	answered bool
+	lost     context.CancelCauseFunc
 }
 
-// Begin lets a request pass or refuses it. The returned context ends when the
+// Begin lets a request pass or refuses it. The deadline of ctx is the one that
+// the server is told. The returned context ends when the
 // server is abandoned; its cause is then an *AbandonedError. Done must be called on the ticket.
 func (g *Gate) Begin(ctx context.Context, ref model.ServerRef, shard model.ShardID, epoch model.Epoch, now time.Time) (context.Context, *Ticket, *reason.Error) {
 	g.mu.Lock()
@@ -141,8 +147,12 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
+	deadline, ok := ctx.Deadline()
+	if !ok || (s.permit.Keyed && s.permit.Until.Before(deadline)) {
+		deadline = s.permit.Until
+	}
 	ctx, lost := context.WithCancelCause(ctx)
-	t := &Ticket{gate: g, server: s, shard: shard, until: s.permit.Until, lost: lost}
+	t := &Ticket{gate: g, server: s, shard: shard, until: s.permit.Until, deadline: deadline, lost: lost}
 	s.inFlight[shard]++
 	s.tickets[t] = struct{}{}
 	return ctx, t, nil
@@ -152,7 +162,16 @@
 // server's deadline must not be later.
 func (t *Ticket) Until() time.Time { return t.until }
 
-// Done ends the request. It may be called more than once.
+// Answered says that the server's answer arrived whole, so that nothing of the
+// request runs there any more. It is called before Done.
+func (t *Ticket) Answered() {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.answered = true
+}
+
+// Done ends the request. It may be called more than once. Without Answered the
+// server is taken to run it until its deadline.
 func (t *Ticket) Done() {
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
@@ -164,9 +183,19 @@
 	if t.server.inFlight[t.shard] == 0 {
 		delete(t.server.inFlight, t.shard)
 	}
+	if !t.answered {
+		t.server.extendTail(t.shard, t.deadline.Add(ClockMargin))
+	}
 	t.lost(nil)
 }
 
+// extendTail runs under the lock.
+func (s *gateServer) extendTail(shard model.ShardID, end time.Time) {
+	if end.After(s.tails[shard]) {
+		s.tails[shard] = end
+	}
+}
+
 // AbandonedError says why the requests at a server were given up.
 type AbandonedError struct {
 	Server model.ServerRef
@@ -207,6 +236,51 @@
 	return shards
 }
 
+// Unquiet returns the shards on which a request of this daemon may still run
+// at a server: those not done, and those given up whose deadline has not passed.
+func (g *Gate) Unquiet(ref model.ServerRef, now time.Time) []model.ShardID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.servers[ref]
+	if !ok {
+		return nil
+	}
+	var shards []model.ShardID
+	for shard := range s.inFlight {
+		shards = append(shards, shard)
+	}
+	for shard, end := range s.tails {
+		if !now.Before(end) {
+			delete(s.tails, shard)
+		} else if s.inFlight[shard] == 0 {
+			shards = append(shards, shard)
+		}
+	}
+	return shards
+}
+
+// ProcessEnded says that the server's process is known to have ended: what was
+// given up there runs no more.
+func (g *Gate) ProcessEnded(ref model.ServerRef) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.servers[ref]; ok {
+		clear(s.tails)
+	}
+}
+
+// Servers returns the servers with permits, with requests that are not done or
+// with ones given up.
+func (g *Gate) Servers() []model.ServerRef {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refs := make([]model.ServerRef, 0, len(g.servers))
+	for ref := range g.servers {
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
 // InFlight returns the number of requests at a server that are not done.
 func (g *Gate) InFlight(ref model.ServerRef) int {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/ownership/holder.go
@@ -0,0 +1,86 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// PermitLength is the validity of a permit from the moment at which it was asked for.
+const PermitLength = 3 * time.Second
+
+// Holder is what one life of a daemon knows of one pool's assignment, and how
+// long it may act on it as a dispatcher.
+type Holder struct {
+	daemon      model.DaemonID
+	incarnation model.Incarnation
+	known       *Assignment
+	contact     time.Time
+}
+
+// NewHolder returns a holder that knows nothing.
+func NewHolder(daemon model.DaemonID, incarnation model.Incarnation) *Holder {
+	return &Holder{daemon: daemon, incarnation: incarnation}
+}
+
+// Learn takes an assignment and reports whether it is newer than the known one.
+func (h *Holder) Learn(a *Assignment) bool {
+	if h.known != nil && a.Seq <= h.known.Seq {
+		return false
+	}
+	h.known = a
+	return true
+}
+
+// Known returns the newest known assignment, or nil.
+func (h *Holder) Known() *Assignment { return h.known }
+
+// Seq returns the sequence number of the known assignment, zero when there is none.
+func (h *Holder) Seq() model.Seq {
+	if h.known == nil {
+		return 0
+	}
+	return h.known.Seq
+}
+
+// Confirm notes that the coordinator, or more than half of the fleet, was asked
+// at the given time and knew of no assignment newer than seq. A confirmation of
+// an assignment that is not known here yet counts for nothing.
+func (h *Holder) Confirm(seq model.Seq, asked time.Time) {
+	if h.known == nil || seq > h.known.Seq || asked.Before(h.contact) {
+		return
+	}
+	h.contact = asked
+}
+
+// Until returns the end of the permits.
+func (h *Holder) Until() time.Time {
+	if h.contact.IsZero() {
+		return time.Time{}
+	}
+	return h.contact.Add(PermitLength)
+}
+
+// Permits returns the permits that follow from what is known.
+func (h *Holder) Permits() []*Permit {
+	if h.known == nil {
+		return nil
+	}
+	return PermitsOf(h.known, h.daemon, h.incarnation, h.Until())
+}
+
+// Dispatches reports that the known assignment names this life of the daemon
+// as a dispatcher in any state.
+func (h *Holder) Dispatches() bool {
+	if h.known == nil {
+		return false
+	}
+	for i := range h.known.Servers {
+		for _, d := range h.known.Servers[i].Dispatchers {
+			if d.Daemon == h.daemon && d.Incarnation == h.incarnation {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/ownership/permit.go
+++ b/internal/ownership/permit.go
@@ -6,14 +6,14 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// PermitsOf derives the permits of a daemon from an assignment. Moving shards
-// are left out, so that they drain.
-func PermitsOf(a *Assignment, daemon model.DaemonID, until time.Time) []*Permit {
+// PermitsOf derives the permits of one life of a daemon from an assignment.
+// Moving shards are left out, so that they drain.
+func PermitsOf(a *Assignment, daemon model.DaemonID, incarnation model.Incarnation, until time.Time) []*Permit {
 	var permits []*Permit
 	for i := range a.Servers {
 		server := &a.Servers[i]
 		for _, dispatcher := range server.Dispatchers {
-			if dispatcher.Daemon == daemon && dispatcher.State == DispatcherActive {
+			if dispatcher.Daemon == daemon && dispatcher.Incarnation == incarnation && dispatcher.State == DispatcherActive {
 				permits = append(permits, permitFor(a, server, dispatcher.Slots, until))
 			}
 		}
--- /dev/null
+++ b/internal/ownership/plan.go
@@ -0,0 +1,284 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/placement"
+)
+
+// ChangeKind names what a change decides.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	ChangeTerm        ChangeKind = "term"
+	ChangeServer      ChangeKind = "server"
+	ChangeDispatcher  ChangeKind = "dispatcher"
+	ChangeMoveBegan   ChangeKind = "move_began"
+	ChangeMoveEnded   ChangeKind = "move_ended"
+	ChangeKeySplit    ChangeKind = "key_split"
+	ChangeFirstShards ChangeKind = "first_shards"
+)
+
+// Change is one decision with its cause.
+type Change struct {
+	Kind    ChangeKind
+	Subject string
+	// State is the new state of a server; empty for other kinds.
+	State ServerState
+	Cause string
+}
+
+// Plan returns the assignment that follows the current one in this view, with
+// its decisions, or nil when the current one stands. The caller publishes it
+// only after the table has it. The current assignment is never changed.
+func Plan(current *Assignment, view View) (*Assignment, []Change) {
+	p := newPlanner(current, view)
+	p.takeTerm()
+	p.syncServers()
+	p.syncDispatchers()
+	if view.Rules.Keyed {
+		p.makeShards()
+		p.endMoves()
+		p.beginMoves()
+		p.splitHotKeys()
+	}
+	p.dropServers()
+	if len(p.changes) == 0 {
+		return nil, nil
+	}
+	return p.next, p.changes
+}
+
+type planner struct {
+	view    View
+	next    *Assignment
+	changes []Change
+}
+
+func newPlanner(current *Assignment, view View) *planner {
+	next := *current
+	next.Term = view.Term
+	next.Seq = current.Seq + 1
+	next.Keyed = view.Rules.Keyed
+	next.Coordinator = view.Coordinator
+	next.Shards = slices.Clone(current.Shards)
+	next.HotKeys = slices.Clone(current.HotKeys)
+	next.Servers = slices.Clone(current.Servers)
+	for i := range next.Servers {
+		next.Servers[i].Dispatchers = slices.Clone(next.Servers[i].Dispatchers)
+	}
+	p := &planner{view: view, next: &next}
+	if current.Term != view.Term || current.Coordinator != view.Coordinator {
+		p.note(ChangeTerm, string(view.Coordinator.Daemon), "a coordinator took the control lease")
+	}
+	return p
+}
+
+func (p *planner) note(kind ChangeKind, subject, cause string) {
+	p.changes = append(p.changes, Change{Kind: kind, Subject: subject, Cause: cause})
+}
+
+// takeTerm drops splits that the earlier coordinator began: the shard then
+// ends its drain under the same owner.
+func (p *planner) takeTerm() {
+	if len(p.changes) == 0 {
+		return
+	}
+	p.next.HotKeys = slices.DeleteFunc(p.next.HotKeys, func(h HotKey) bool { return h.Pending })
+}
+
+// syncServers takes the listed servers and their states.
+func (p *planner) syncServers() {
+	listed := map[model.ServerID]ListedServer{}
+	for _, server := range p.view.Servers {
+		listed[server.ID] = server
+		if p.next.Server(server.ID) == nil {
+			p.addServer(server)
+		}
+	}
+	for i := range p.next.Servers {
+		server := &p.next.Servers[i]
+		found, ok := listed[server.ID]
+		switch {
+		case !ok:
+			p.setState(server, ServerLost, "not listed any more")
+		case found.Address != server.Address:
+			p.setState(server, ServerLost, "listed under another address")
+		default:
+			p.setState(server, found.State, found.Cause)
+		}
+	}
+}
+
+func (p *planner) addServer(server ListedServer) {
+	p.next.Servers = append(p.next.Servers, Server{
+		ID:      server.ID,
+		Zone:    server.Zone,
+		Address: server.Address,
+		State:   server.State,
+	})
+	p.changes = append(p.changes, Change{Kind: ChangeServer, Subject: string(server.ID), State: server.State, Cause: "newly listed"})
+}
+
+func (p *planner) setState(server *Server, state ServerState, cause string) {
+	if server.State == state {
+		return
+	}
+	server.State = state
+	p.changes = append(p.changes, Change{Kind: ChangeServer, Subject: string(server.ID), State: state, Cause: cause})
+}
+
+// dropServers removes servers that are not listed under their address and own nothing.
+func (p *planner) dropServers() {
+	listed := map[model.ServerID]string{}
+	for _, server := range p.view.Servers {
+		listed[server.ID] = server.Address
+	}
+	p.next.Servers = slices.DeleteFunc(p.next.Servers, func(s Server) bool {
+		if listed[s.ID] == s.Address || p.needed(s.ID) {
+			return false
+		}
+		p.note(ChangeServer, string(s.ID), "removed: not listed and owns nothing")
+		return true
+	})
+}
+
+func (p *planner) needed(id model.ServerID) bool {
+	return slices.ContainsFunc(p.next.Shards, func(s Shard) bool { return s.Server == id || s.Next == id })
+}
+
+// makeShards creates the shard table of a new pool.
+func (p *planner) makeShards() {
+	if p.next.FixedShards > 0 {
+		return
+	}
+	p.next.FixedShards = p.view.Rules.Shards
+	p.next.Shards = make([]Shard, p.view.Rules.Shards)
+	p.note(ChangeFirstShards, fmt.Sprintf("%d shards", p.view.Rules.Shards), "first assignment of the pool")
+}
+
+// endMoves gives moving shards to their new server once nothing of them can
+// still run at the old one.
+func (p *planner) endMoves() {
+	for id := range p.next.Shards {
+		shard := &p.next.Shards[id]
+		if shard.Next == "" || !p.drained(model.ShardID(id), shard) {
+			continue
+		}
+		p.endMove(model.ShardID(id), shard)
+	}
+}
+
+func (p *planner) drained(id model.ShardID, shard *Shard) bool {
+	server := p.next.Server(shard.Server)
+	if server == nil {
+		return true
+	}
+	for i := range server.Dispatchers {
+		if !p.view.stopped(server.ID, &server.Dispatchers[i], shard.Since, id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) endMove(id model.ShardID, shard *Shard) {
+	target := p.next.Server(shard.Next)
+	if target == nil || target.State == ServerLost {
+		shard.Next = p.bestFor(id, shard)
+	}
+	if shard.Next == "" {
+		shard.Next = shard.Server
+	}
+	p.note(ChangeMoveEnded, fmt.Sprintf("shard %d", id), fmt.Sprintf("nothing runs at %s; %s owns it", shard.Server, shard.Next))
+	shard.Server = shard.Next
+	shard.Next = ""
+	shard.Since = 0
+	shard.Epoch++
+	p.finishSplit(id, shard)
+}
+
+// bestFor returns a server for one shard, or "" when none can take it.
+func (p *planner) bestFor(id model.ShardID, shard *Shard) model.ServerID {
+	in := p.placementInput()
+	for i := range in.Shards {
+		in.Shards[i].Moving = in.Shards[i].ID != id
+		if in.Shards[i].ID == id {
+			in.Shards[i].Owner = ""
+		}
+	}
+	in.MoveBudget = 0
+	for _, move := range placement.Decide(in) {
+		if move.Shard == id {
+			return move.To
+		}
+	}
+	return ""
+}
+
+// beginMoves writes the intents that placement asks for. Shards that no server
+// ever owned need no drain.
+func (p *planner) beginMoves() {
+	first := 0
+	for _, move := range placement.Decide(p.placementInput()) {
+		shard := &p.next.Shards[move.Shard]
+		if shard.Server == move.To {
+			continue
+		}
+		if shard.Server == "" {
+			shard.Server = move.To
+			shard.Epoch++
+			first++
+			continue
+		}
+		shard.Next = move.To
+		shard.Since = p.next.Seq
+		p.note(ChangeMoveBegan, fmt.Sprintf("shard %d", move.Shard), p.moveCause(shard))
+	}
+	if first > 0 {
+		p.note(ChangeFirstShards, fmt.Sprintf("%d shards", first), "they had no owner yet")
+	}
+}
+
+func (p *planner) moveCause(shard *Shard) string {
+	state := ServerLost
+	if server := p.next.Server(shard.Server); server != nil {
+		state = server.State
+	}
+	if state == ServerActive {
+		return fmt.Sprintf("balance: from %s to %s", shard.Server, shard.Next)
+	}
+	return fmt.Sprintf("%s is %s: to %s", shard.Server, state, shard.Next)
+}
+
+func (p *planner) placementInput() placement.Input {
+	in := placement.Input{Pool: p.next.Pool, Weights: p.view.Rules.Weights, MoveBudget: p.view.MoveBudget}
+	weights := map[model.ServerID]float64{}
+	for _, server := range p.view.Servers {
+		weights[server.ID] = server.Weight
+	}
+	for i := range p.next.Servers {
+		server := &p.next.Servers[i]
+		weight := weights[server.ID]
+		if server.State != ServerActive || server.Active() == nil {
+			weight = 0
+		}
+		in.Servers = append(in.Servers, placement.Server{ID: server.ID, Zone: server.Zone, Weight: weight})
+	}
+	for id, shard := range p.next.Shards {
+		in.Shards = append(in.Shards, p.placementShard(model.ShardID(id), shard))
+	}
+	return in
+}
+
+// placementShard shows a moving shard at the server that it moves to.
+func (p *planner) placementShard(id model.ShardID, shard Shard) placement.Shard {
+	owner := shard.Server
+	if shard.Next != "" {
+		owner = shard.Next
+	}
+	return placement.Shard{ID: id, Owner: owner, Load: p.view.Loads[id], Moving: shard.Next != ""}
+}
