--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -2,92 +2,122 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sort"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/chicorylug/chicorylug/internal/agent"
+	"github.com/chicorylug/chicorylug/internal/assignments"
+	"github.com/chicorylug/chicorylug/internal/attest"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/control"
+	"github.com/chicorylug/chicorylug/internal/ctlproto"
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/member"
+	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/observe"
-	"github.com/chicorylug/chicorylug/internal/ownership"
-	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
-	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/rpc"
 )
 
 // ServiceName is the coordinator's name in the kernel.
 const ServiceName kernel.Name = "coordinator"
 
-// Periods.
-const (
-	tickPeriod   = 500 * time.Millisecond
-	permitLength = 3 * time.Second // validity of a permit from the moment it was asked for
-)
-
-// assignmentPrefix is the prefix of the assignments' keys in the table.
-const assignmentPrefix = "assignment/"
+// poolsPeriod is the time between two looks at the pools of the settings.
+const poolsPeriod = 100 * time.Millisecond
 
 // Coordinator takes part in the control of every pool.
 type Coordinator struct {
 	config    *config.Config
 	loop      *control.Loop
-	platform  platform.Platform
+	table     platform.Platform
 	member    *member.Member
-	gate      *ownership.Gate
 	directory *directory.Directory
+	store     *assignments.Store
+	attest    *attest.Attest
+	agent     *agent.Agent
+	client    *rpc.Client
 	journal   *journal.Journal
+	counters  counters
 	log       *zap.Logger
 
+	// candidates belong to the control goroutine.
+	candidates map[model.PoolName]*candidate
+	leaving    bool
+
 	cancel context.CancelFunc
-	done   chan struct{}
+	done   sync.WaitGroup
+}
+
+type counters struct {
+	leases, writes, conflicts, ambiguous, moves, barriers, refused func(int64)
 }
 
 // New returns a coordinator that is not yet started.
 func New(
 	c *config.Config,
 	loop *control.Loop,
-	p platform.Platform,
+	table platform.Platform,
 	m *member.Member,
-	gate *ownership.Gate,
 	dir *directory.Directory,
-	board *observe.Board,
+	store *assignments.Store,
+	at *attest.Attest,
+	ag *agent.Agent,
+	server *rpc.Server,
+	client *rpc.Client,
 	j *journal.Journal,
+	registry *metrics.Registry,
 	log *zap.Logger,
 ) *Coordinator {
 	coordinator := &Coordinator{
-		config:    c,
-		loop:      loop,
-		platform:  p,
-		member:    m,
-		gate:      gate,
-		directory: dir,
-		journal:   j,
-		log:       log.Named(string(ServiceName)),
-		done:      make(chan struct{}),
-	}
+		config:     c,
+		loop:       loop,
+		table:      table,
+		member:     m,
+		directory:  dir,
+		store:      store,
+		attest:     at,
+		agent:      ag,
+		client:     client,
+		journal:    j,
+		counters:   newCounters(registry),
+		log:        log.Named(string(ServiceName)),
+		candidates: map[model.PoolName]*candidate{},
+	}
+	rpc.Handle(server, ctlproto.MethodRenew, coordinator.serveRenew)
+	rpc.Handle(server, ctlproto.MethodOffer, coordinator.serveOffer)
 	return coordinator
 }
 
+func newCounters(registry *metrics.Registry) counters {
+	return counters{
+		leases:    registry.Int("leases_taken").Add,
+		writes:    registry.Int("assignment_writes").Add,
+		conflicts: registry.Int("assignment_conflicts").Add,
+		ambiguous: registry.Int("assignment_ambiguous_answers").Add,
+		moves:     registry.Int("shard_moves").Add,
+		barriers:  registry.Int("barriers_passed").Add,
+		refused:   registry.Int("control_messages_refused").Add,
+	}
+}
+
 // Name implements kernel.Service.
 func (c *Coordinator) Name() kernel.Name { return ServiceName }
 
 // After implements kernel.Service.
-func (c *Coordinator) After() []kernel.Name { return []kernel.Name{member.ServiceName, "settings"} }
+func (c *Coordinator) After() []kernel.Name {
+	return []kernel.Name{member.ServiceName, agent.ServiceName, "settings"}
+}
 
 // Start implements kernel.Service.
 func (c *Coordinator) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	go c.run(ctx)
+	c.done.Add(1)
+	go c.followPools(ctx)
 	return nil
 }
 
@@ -97,150 +127,76 @@
 // Stop implements kernel.Service.
 func (c *Coordinator) Stop(context.Context) error {
 	c.cancel()
-	<-c.done
+	c.done.Wait()
 	return nil
 }
 
-func (c *Coordinator) run(ctx context.Context) {
-	defer close(c.done)
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+// followPools runs a candidate for each pool of the settings.
+func (c *Coordinator) followPools(ctx context.Context) {
+	defer c.done.Done()
 	for {
-		if err := c.tick(ctx); err != nil {
-			c.log.Warn("control round failed", zap.String("step", "tick"), zap.Error(err))
-		}
+		_ = c.loop.Call(ctx, func() { c.syncCandidates(ctx) })
 		select {
-		case <-ticker.C:
 		case <-ctx.Done():
 			return
+		case <-time.After(poolsPeriod):
 		}
 	}
 }
 
-func (c *Coordinator) tick(ctx context.Context) error {
+// syncCandidates runs on the control goroutine.
+func (c *Coordinator) syncCandidates(ctx context.Context) {
 	compiled := c.directory.Load().Settings
-	if compiled == nil {
-		return nil
+	if compiled == nil || c.attest.Ready() != nil {
+		return
 	}
-	members := c.member.Members()
-	for name, pool := range compiled.Pools {
-		if err := c.tickPool(ctx, name, pool, members.Instances, members.Daemons); err != nil {
-			return err
+	for name := range compiled.Pools {
+		if _, known := c.candidates[name]; known {
+			continue
 		}
+		cand := newCandidate(c, name)
+		c.candidates[name] = cand
+		c.done.Add(1)
+		go cand.run(ctx)
 	}
-	return c.loop.Call(ctx, c.applyPermits)
 }
 
-func (c *Coordinator) tickPool(ctx context.Context, name model.PoolName, pool *settings.Pool, instances []platform.Instance, daemons map[model.DaemonID]directory.Daemon) error {
-	row, err := c.platform.Get(ctx, assignmentPrefix+string(name))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return errors.Wrapf(err, "read assignment of %s", name)
-	}
-	current := &ownership.Assignment{Pool: name}
-	if row.Version > 0 {
-		if err := json.Unmarshal(row.Value, current); err != nil {
-			return errors.Wrapf(err, "decode assignment of %s", name)
-		}
-	}
-	if c.leads(daemons) {
-		next := plan(current, pool, serversOf(name, instances), daemons)
-		if next != nil {
-			return c.write(ctx, row, next)
+// serveOffer makes a candidate look at a released lease at once.
+func (c *Coordinator) serveOffer(ctx context.Context, request *ctlproto.OfferRequest) (*ctlproto.OfferAnswer, error) {
+	err := c.loop.Call(ctx, func() {
+		if cand := c.candidates[request.Pool]; cand != nil {
+			cand.offered = true
+			cand.poke()
 		}
-	}
-	if current.Seq == 0 {
-		return nil
-	}
-	return c.loop.Call(ctx, func() { c.directory.PublishAssignment(current) })
-}
-
-// leads reports that this daemon has the lowest name.
-func (c *Coordinator) leads(daemons map[model.DaemonID]directory.Daemon) bool {
-	for id := range daemons {
-		if id < c.config.Name {
-			return false
-		}
-	}
-	return true
+	})
+	return &ctlproto.OfferAnswer{}, err
 }
 
-func serversOf(pool model.PoolName, instances []platform.Instance) []platform.Instance {
-	var servers []platform.Instance
-	for _, instance := range instances {
-		if instance.Kind == platform.KindServer && instance.Pool == pool {
-			servers = append(servers, instance)
+// serveRenew answers an agent while this daemon holds the pool's lease.
+func (c *Coordinator) serveRenew(ctx context.Context, request *ctlproto.RenewRequest) (*ctlproto.RenewAnswer, error) {
+	answer := &ctlproto.RenewAnswer{}
+	err := c.loop.Call(ctx, func() {
+		ctl := c.controllerOf(request.Pool)
+		if ctl == nil || !ctl.inForce() {
+			c.counters.refused(1)
+			answer.Refusal = &ctlproto.Refusal{Code: ctlproto.NotCoordinator, Term: c.knownTerm(request.Pool)}
+			return
 		}
-	}
-	return servers
-}
-
-// plan returns the next assignment, or nil when the current one stands.
-func plan(current *ownership.Assignment, pool *settings.Pool, servers []platform.Instance, daemons map[model.DaemonID]directory.Daemon) *ownership.Assignment {
-	if current.Seq > 0 || len(servers) == 0 {
-		return nil
-	}
-	next := &ownership.Assignment{Pool: current.Pool, Term: 1, Seq: 1, Keyed: pool.Keyed, FixedShards: pool.Shards}
-	names := make([]string, 0, len(servers))
-	for _, server := range servers {
-		names = append(names, server.ID)
-		next.Servers = append(next.Servers, ownership.Server{
-			ID:          model.ServerID(server.ID),
-			Zone:        server.Zone,
-			Address:     server.Address,
-			State:       ownership.ServerActive,
-			Dispatchers: dispatchersFor(server.ID, pool, daemons),
-		})
-	}
-	for shard := range pool.Shards {
-		owner := placement.First(string(current.Pool)+string(rune(shard)), names)
-		next.Shards = append(next.Shards, ownership.Shard{Server: model.ServerID(owner), Epoch: 1})
-	}
-	return next
-}
-
-func dispatchersFor(server string, pool *settings.Pool, daemons map[model.DaemonID]directory.Daemon) []ownership.Dispatcher {
-	ids := make([]string, 0, len(daemons))
-	for id := range daemons {
-		ids = append(ids, string(id))
-	}
-	sort.Strings(ids)
-	chosen := daemons[model.DaemonID(placement.First(server, ids))]
-	return []ownership.Dispatcher{{
-		Daemon:      chosen.ID,
-		Incarnation: chosen.Incarnation,
-		Zone:        chosen.Zone,
-		State:       ownership.DispatcherActive,
-		Slots:       pool.Slots,
-		Dispatch:    chosen.Dispatch,
-		Control:     chosen.Control,
-	}}
+		ctl.serveRenew(request, answer)
+	})
+	return answer, err
 }
 
-func (c *Coordinator) write(ctx context.Context, row platform.Row, next *ownership.Assignment) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return errors.Wrap(err, "encode assignment")
-	}
-	_, err = platform.Resolve(ctx, c.platform, platform.Write{
-		Key:     assignmentPrefix + string(next.Pool),
-		Value:   value,
-		Expect:  row.Version,
-		WriteID: platform.WriteID(uuid.NewString()),
-	})
-	if err != nil {
-		return errors.Wrapf(err, "write assignment of %s", next.Pool)
+func (c *Coordinator) controllerOf(pool model.PoolName) *controller {
+	if cand := c.candidates[pool]; cand != nil {
+		return cand.controller
 	}
-	c.journal.Add(journal.Event{Kind: journal.AssignmentWrote, Pool: next.Pool, Cause: "first assignment", Term: next.Term, Seq: next.Seq})
-	return c.loop.Call(ctx, func() { c.directory.PublishAssignment(next) })
+	return nil
 }
 
-// applyPermits gives the gate a permit for each server that this daemon
-// dispatches to. It runs on the control goroutine.
-func (c *Coordinator) applyPermits() {
-	until := time.Now().Add(permitLength)
-	var permits []*ownership.Permit
-	for _, assignment := range c.directory.Load().Pools {
-		permits = append(permits, ownership.PermitsOf(assignment, c.config.Name, until)...)
+func (c *Coordinator) knownTerm(pool model.PoolName) model.Term {
+	if known := c.store.Get(pool); known != nil {
+		return known.Term
 	}
-	c.gate.Apply(permits)
+	return 0
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/admin"
+	"github.com/chicorylug/chicorylug/internal/agent"
+	"github.com/chicorylug/chicorylug/internal/assignments"
+	"github.com/chicorylug/chicorylug/internal/attest"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/control"
 	"github.com/chicorylug/chicorylug/internal/coordinator"
@@ -63,6 +66,7 @@
 		observe.NewBoard,
 		rpc.NewServer,
 		rpc.NewClient,
+		assignments.New,
 		newPlatform,
 	} {
 		if err := d.kernel.Provide(constructor); err != nil {
@@ -79,6 +83,8 @@
 		func() error { return kernel.Add[*spread.Spread](d.kernel, spread.New) },
 		func() error { return kernel.Add[*member.Member](d.kernel, member.New) },
 		func() error { return kernel.Add[*settingstore.Store](d.kernel, settingstore.New) },
+		func() error { return kernel.Add[*attest.Attest](d.kernel, attest.New) },
+		func() error { return kernel.Add[*agent.Agent](d.kernel, agent.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
 		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -38,6 +38,9 @@
 	*w = LeaseWatch{version: version, since: now, seen: true}
 }
 
+// Since returns the time at which the row was first seen in its present version.
+func (w *LeaseWatch) Since() time.Time { return w.since }
+
 // Lapsed reports that the row was unchanged for the lease's length on this
 // daemon's clock: its holder, who counts from an earlier moment, has stopped.
 func (w *LeaseWatch) Lapsed(now time.Time) bool {
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -103,8 +103,9 @@
 		server := &p.next.Servers[i]
 		found, ok := listed[server.ID]
 		switch {
+		case !ok && server.State != ServerLost:
+			p.setState(server, ServerLeaving, "not listed any more")
 		case !ok:
-			p.setState(server, ServerLost, "not listed any more")
 		case found.Address != server.Address:
 			p.setState(server, ServerLost, "listed under another address")
 		default:
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -175,6 +175,10 @@
 	return s.topics[name]
 }
 
+// Pull compares with one peer now, for a daemon that was told that the peer
+// knows something newer.
+func (s *Spread) Pull(ctx context.Context, peer string) { s.compare(ctx, peer) }
+
 // compare exchanges digests with a peer, then items of the topics that differ
 // in both directions.
 func (s *Spread) compare(ctx context.Context, peer string) {
