--- a/internal/attest/attest.go
+++ b/internal/attest/attest.go
@@ -40,6 +40,7 @@
 const (
 	informPeriod = 500 * time.Millisecond // time between two tries to become informed
 	fleetPeriod  = 2 * time.Second        // time between two looks at the listed daemons
+	firstPeriod  = 50 * time.Millisecond  // the same while no fleet is written
 	roundTimeout = 400 * time.Millisecond // bound of one round
 	tableTimeout = 2 * time.Second        // bound of one call of the table
 )
@@ -117,9 +118,19 @@
 	if !a.witness.Informed() {
 		return errors.New("neither the table nor enough daemons have told the assignments")
 	}
+	if a.witness.Fleet().Version == 0 {
+		return errors.New("no fleet is written yet")
+	}
 	return nil
 }
 
+// informed reports that this daemon may attest.
+func (a *Attest) informed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.witness.Informed()
+}
+
 // Start implements kernel.Service.
 func (a *Attest) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -248,7 +259,7 @@
 // inform tries to become informed: from the table, or else from the peers.
 func (a *Attest) inform(ctx context.Context) {
 	defer a.done.Done()
-	for a.Ready() != nil {
+	for !a.informed() {
 		if err := a.readTable(ctx); err != nil {
 			a.log.Debug("assignments not read", zap.String("step", "inform"), zap.String("peer", "platform"), zap.Error(err))
 			a.learnFromPeers(ctx)
--- a/internal/attest/fleet.go
+++ b/internal/attest/fleet.go
@@ -72,9 +72,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(fleetPeriod):
+		case <-time.After(a.fleetPause()):
 		}
-		if a.Ready() != nil || !a.keepsFleet() {
+		if !a.informed() || !a.keepsFleet() {
 			continue
 		}
 		if err := a.updateFleet(ctx); err != nil {
@@ -83,6 +83,13 @@
 	}
 }
 
+func (a *Attest) fleetPause() time.Duration {
+	if a.Ready() != nil {
+		return firstPeriod
+	}
+	return fleetPeriod
+}
+
 func (a *Attest) keepsFleet() bool {
 	var ids []string
 	for id, daemon := range a.member.Members().Daemons {
--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -88,7 +88,8 @@
 }
 
 func (d *Dispatcher) send(ctx *fasthttp.RequestCtx, s *server, work *wire.Work) (*sent, *reason.Error) {
-	attempt, cancel := context.WithDeadline(context.Background(), work.Deadline)
+	deadline := d.attemptDeadline(work, time.Now())
+	attempt, cancel := context.WithDeadline(context.Background(), deadline)
 	attempt, ticket, refusal := d.gate.Begin(attempt, work.Server, work.Shard, work.Epoch, time.Now())
 	if refusal != nil {
 		cancel()
@@ -96,7 +97,7 @@
 	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	d.prepare(ctx, request, work)
+	d.prepare(ctx, request, work, deadline)
 	answer := fasthttp.AcquireResponse()
 	exchange, failure := s.pool.Do(attempt, request, answer)
 	result := &sent{exchange: exchange, answer: answer, ticket: ticket, cancel: cancel}
@@ -116,10 +117,10 @@
 }
 
 // prepare copies the caller's request and adds what servers need.
-func (d *Dispatcher) prepare(ctx *fasthttp.RequestCtx, request *fasthttp.Request, work *wire.Work) {
+func (d *Dispatcher) prepare(ctx *fasthttp.RequestCtx, request *fasthttp.Request, work *wire.Work, deadline time.Time) {
 	ctx.Request.Header.CopyTo(&request.Header)
 	request.Header.Set(wire.HeaderDispatcher, string(d.config.Name))
-	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(work.Deadline.UnixMilli(), 10))
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	request.UseHostHeader = true
 	if length := ctx.Request.Header.ContentLength(); length != 0 && ctx.RequestBodyStream() != nil {
 		request.SetBodyStream(ctx.RequestBodyStream(), length)
@@ -197,6 +198,9 @@
 		return nil
 	}
 	r.ended = true
+	if r.sent.exchange.Length() == 0 {
+		r.sent.ticket.Answered()
+	}
 	r.sent.end()
 	r.queue.Release()
 	return nil
--- a/scenarios/cmd_check_test.go
+++ b/scenarios/cmd_check_test.go
@@ -25,6 +25,7 @@
 //	check whole              every answer of status 200 was whole and the caller's own
 //	check slots N            no server ran more than N requests at one time
 //	check connections N      no server has more than N connections
+//	check unanswered N       at most N requests got no answer of status 200
 //	check answered N         callers got at least N answers of status 200
 //	check ran [--at-least N] some requests ran
 func cmdCheck(w *world, ts *testscript.TestScript, _ bool, args []string) {
@@ -45,6 +46,8 @@
 		problem = w.overSlots(ts, number(ts, args, 1))
 	case "connections":
 		problem = w.overConnections(ts, number(ts, args, 1))
+	case "unanswered":
+		problem = w.manyUnanswered(number(ts, args, 1))
 	case "answered":
 		problem = w.fewAnswers(number(ts, args, 1))
 	default:
@@ -191,3 +194,18 @@
 	}
 	return ""
 }
+
+func (w *world) manyUnanswered(most int) string {
+	unanswered := 0
+	last := ""
+	for _, seen := range w.seen() {
+		if seen.Status != fasthttp.StatusOK {
+			unanswered++
+			last = fmt.Sprintf("%s %s: status %d, refusal %v, error %v", seen.Method, seen.Path, seen.Status, seen.Refusal, seen.Err)
+		}
+	}
+	if unanswered > most {
+		return fmt.Sprintf("%d requests got no answer of status 200, want at most %d; the last: %s", unanswered, most, last)
+	}
+	return ""
+}
--- a/scenarios/cmd_ownership_test.go
+++ b/scenarios/cmd_ownership_test.go
@@ -1,12 +1,22 @@
 package scenarios
 
 import (
+	"encoding/json"
+	"fmt"
 	"strconv"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/ownership"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 func init() {
+	commands["dispatcher"] = cmdDispatcher
+	commands["coordinator"] = cmdCoordinator
+	commands["idle"] = cmdIdle
+	commands["moved"] = cmdMoved
 	commands["same"] = cmdSame
 	commands["newer"] = cmdNewer
 }
@@ -38,3 +48,140 @@
 		ts.Fatalf("found epochs %d and %d", first, second)
 	}
 }
+
+type dispatcherOptions struct {
+	Keys   int    `long:"n" default:"1" description:"number of keys to look at; {n} in the path"`
+	Unlike string `long:"unlike" description:"daemon that is not asked and must not be the answer"`
+}
+
+// cmdDispatcher sets VAR to the daemon that dispatches a key's requests, and
+// VAR_PATH to the path with the key, for the first key for which it is unlike NAME:
+//
+//	dispatcher [--unlike NAME] [--n KEYS] PATH VAR
+func cmdDispatcher(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	var o dispatcherOptions
+	rest := parse(ts, &o, args)
+	if len(rest) != 2 {
+		ts.Fatalf("usage: dispatcher [--unlike NAME] PATH VAR")
+	}
+	request := requestOptions{Status: "200", Timeout: "30s"}
+	number := -1
+	await(ts, awaitTimeout, "dispatcher of "+rest[0], func() error {
+		number = (number + 1) % o.Keys
+		path := numbered(rest[0], number)
+		seen := w.send(&request, w.otherThan(ts, o.Unlike).conf.CallerAddress, fasthttp.MethodGet, path)
+		if problem := request.problem(&seen); problem != "" {
+			return fmt.Errorf("%s", problem)
+		}
+		if seen.Dispatcher == o.Unlike {
+			return fmt.Errorf("still %s", seen.Dispatcher)
+		}
+		ts.Setenv(rest[1], seen.Dispatcher)
+		ts.Setenv(rest[1]+"_PATH", path)
+		return nil
+	})
+}
+
+// otherThan returns the first running daemon with another name.
+func (w *world) otherThan(ts *testscript.TestScript, name string) *process {
+	for _, d := range w.daemons {
+		if d.running() && d.name != name {
+			return d
+		}
+	}
+	ts.Fatalf("no daemon besides %s runs", name)
+	return nil
+}
+
+// cmdCoordinator sets VAR to the daemon that holds a pool's control lease:
+//
+//	coordinator [--unlike NAME] POOL VAR
+func cmdCoordinator(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	var o dispatcherOptions
+	rest := parse(ts, &o, args)
+	if len(rest) != 2 {
+		ts.Fatalf("usage: coordinator [--unlike NAME] POOL VAR")
+	}
+	await(ts, awaitTimeout, "coordinator of "+rest[0], func() error {
+		lease, err := w.lease(rest[0])
+		if err != nil {
+			return err
+		}
+		if lease.Holder == "" || string(lease.Holder) == o.Unlike {
+			return fmt.Errorf("still %q", lease.Holder)
+		}
+		ts.Setenv(rest[1], string(lease.Holder))
+		return nil
+	})
+}
+
+// lease reads a pool's lease row from the platform.
+func (w *world) lease(pool string) (ownership.Lease, error) {
+	var row platform.Row
+	var lease ownership.Lease
+	status, body, err := call(fasthttp.MethodGet, w.platformAddress(), platform.PathRow+"?key=lease/"+pool, nil)
+	if err != nil {
+		return lease, err
+	}
+	if status != fasthttp.StatusOK {
+		return lease, fmt.Errorf("status %d", status)
+	}
+	if err := json.Unmarshal(body, &row); err != nil {
+		return lease, err
+	}
+	return lease, json.Unmarshal(row.Value, &lease)
+}
+
+// cmdIdle remembers how often a server ran requests, and later asserts that it
+// ran none since:
+//
+//	idle mark SERVER
+//	idle since SERVER
+func cmdIdle(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: idle mark|since SERVER")
+	}
+	runs := w.stats(ts, w.server(ts, args[1])).Runs
+	name := "idle_" + args[1]
+	switch args[0] {
+	case "mark":
+		ts.Setenv(name, strconv.Itoa(runs))
+	case "since":
+		if before := ts.Getenv(name); before != strconv.Itoa(runs) {
+			ts.Fatalf("server %s ran %d requests, %s when it was marked", args[1], runs, before)
+		}
+	default:
+		ts.Fatalf("usage: idle mark|since SERVER")
+	}
+}
+
+type movedOptions struct {
+	requestOptions
+	From string `long:"from" description:"server that must not answer any more"`
+}
+
+// cmdMoved waits until no key is answered by a server any more, at each entry:
+//
+//	moved --from SERVER [--to d1,d2] [--n KEYS] PATH
+func cmdMoved(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	var o movedOptions
+	rest := parse(ts, &o, args)
+	if len(rest) != 1 || o.From == "" {
+		ts.Fatalf("usage: moved --from SERVER [--to d1,d2] [--n KEYS] PATH")
+	}
+	for _, entry := range w.entries(ts, o.To) {
+		for i := range o.Count {
+			path := numbered(rest[0], i)
+			await(ts, awaitTimeout, path+" moved", func() error {
+				seen := w.send(&o.requestOptions, entry, fasthttp.MethodGet, path)
+				if problem := o.problem(&seen); problem != "" {
+					return fmt.Errorf("%s", problem)
+				}
+				if seen.Server == o.From {
+					return fmt.Errorf("still at %s", seen.Server)
+				}
+				return nil
+			})
+		}
+	}
+}
--- a/scenarios/cmd_request_test.go
+++ b/scenarios/cmd_request_test.go
@@ -34,6 +34,7 @@
 	Path        string
 	Status      int
 	Server      string
+	Dispatcher  string
 	Epoch       string
 	Refusal     *reason.Error
 	Err         error  // the caller got no answer, or a cut one
@@ -162,6 +163,7 @@
 	seen.Status = answer.StatusCode()
 	seen.Request = model.RequestID(answer.Header.Peek(wire.HeaderRequestID))
 	seen.Server = string(answer.Header.Peek(wire.HeaderServer))
+	seen.Dispatcher = string(answer.Header.Peek(wire.HeaderDispatcher))
 	seen.Epoch = string(answer.Header.Peek(wire.HeaderEpoch))
 	body := answer.Body()
 	if len(answer.Header.Peek(wire.HeaderReason)) > 0 {
--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -38,7 +38,10 @@
 		Cmds:                scripts,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			w := newWorld(env)
+			w, err := newWorld(env)
+			if err != nil {
+				return err
+			}
 			env.Values[worldKey{}] = w
 			env.Defer(w.close)
 			return nil
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -33,6 +34,8 @@
 	serverPort   = 8001
 	serverCtl    = 8002
 	platformPort = 9001
+	takenPort    = 9009 // marks a network as in use
+	networkTries = 200
 
 	platformHost    = 250
 	firstServerHost = 100
@@ -48,6 +51,7 @@
 type world struct {
 	env     *testscript.Env
 	network string // first three numbers of the scenario's loopback addresses
+	taken   net.Listener
 	path    string
 
 	daemons []*process
@@ -69,14 +73,31 @@
 	conf config.Config
 }
 
-func newWorld(env *testscript.Env) *world {
-	number := networks.Add(1)
+func newWorld(env *testscript.Env) (*world, error) {
+	network, taken, err := takeNetwork()
 	return &world{
 		env:     env,
-		network: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, number),
+		network: network,
+		taken:   taken,
 		path:    env.Getenv("PATH"),
 		loads:   map[string]*load{},
+	}, err
+}
+
+// takeNetwork chooses a loopback network that no scenario of this or another
+// test process uses, and holds it by a listener.
+func takeNetwork() (string, net.Listener, error) {
+	var last error
+	for range networkTries {
+		number := networks.Add(1)
+		network := fmt.Sprintf("127.%d.%d", 1+(os.Getpid()+int(number)/networkTries)%250, 1+number%networkTries)
+		taken, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, platformHost, takenPort))
+		if err == nil {
+			return network, taken, nil
+		}
+		last = err
 	}
+	return "", nil, last
 }
 
 func (w *world) address(host, port int) string {
@@ -84,6 +105,7 @@
 }
 
 func (w *world) close() {
+	defer func() { _ = w.taken.Close() }()
 	for _, l := range w.loads {
 		l.stop()
 	}
