--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,12 +12,14 @@
 	"github.com/chicorylug/chicorylug/internal/agent"
 	"github.com/chicorylug/chicorylug/internal/assignments"
 	"github.com/chicorylug/chicorylug/internal/attest"
+	"github.com/chicorylug/chicorylug/internal/claim"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/control"
 	"github.com/chicorylug/chicorylug/internal/coordinator"
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/dispatcher"
 	"github.com/chicorylug/chicorylug/internal/entry"
+	"github.com/chicorylug/chicorylug/internal/inspect"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/member"
@@ -26,9 +28,11 @@
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
+	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // Daemon is one chicorylugd.
@@ -64,10 +68,14 @@
 		directory.New,
 		ownership.NewGate,
 		observe.NewBoard,
+		poison.NewTable,
+		tally.New,
+		inspect.New,
 		rpc.NewServer,
 		rpc.NewClient,
 		assignments.New,
 		newPlatform,
+		claim.New,
 	} {
 		if err := d.kernel.Provide(constructor); err != nil {
 			return err
@@ -86,6 +94,7 @@
 		func() error { return kernel.Add[*attest.Attest](d.kernel, attest.New) },
 		func() error { return kernel.Add[*agent.Agent](d.kernel, agent.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
+		func() error { return kernel.Add[*claim.Sweeper](d.kernel, claim.NewSweeper) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
 		func() error { return kernel.Add[*admin.Admin](d.kernel, admin.New) },
 	} {
--- a/internal/wire/work.go
+++ b/internal/wire/work.go
@@ -24,6 +24,10 @@
 	Once        bool
 	Idempotency string
 	Deadline    time.Time
+	// Trace asks each daemon on the way to keep the steps of the request.
+	Trace bool
+	// Death names the death of a server under which an earlier attempt ran.
+	Death string
 }
 
 // Write sets the headers.
@@ -41,6 +45,12 @@
 	if w.Once {
 		h.Set(HeaderOnce, "1")
 	}
+	if w.Trace {
+		h.Set(HeaderTrace, "1")
+	}
+	if w.Death != "" {
+		h.Set(HeaderDeath, w.Death)
+	}
 	if w.Idempotency != "" {
 		h.Set(HeaderIdempotencyKey, w.Idempotency)
 	}
@@ -61,6 +71,8 @@
 		Once:        r.optional(HeaderOnce) == "1",
 		Idempotency: r.optional(HeaderIdempotencyKey),
 		Deadline:    time.UnixMilli(r.signed(HeaderDeadline, 64)),
+		Trace:       r.optional(HeaderTrace) == "1",
+		Death:       r.optional(HeaderDeath),
 	}
 	return w, r.err
 }
