dispatcher: count the end of one server process as one death

Change: a found death stands until the server answers again. Ruled out: weakening the bound of two deaths. Conclusion: one kill is one death; the package's tests pass as before.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -23,6 +23,22 @@
 type crashWatch struct {
 	mu      sync.Mutex
 	current *finding
+	// death is the one that was found last; empty once the server answered again.
+	death poison.DeathID
+}
+
+// known returns the death after which the server has not answered yet, or "".
+func (c *crashWatch) known() poison.DeathID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.death
+}
+
+// set notes a death, or with "" that the server answers.
+func (c *crashWatch) set(death poison.DeathID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.death = death
 }
 
 // finding is whether a server's process ended under its requests.
@@ -68,7 +84,11 @@
 		return ""
 	}
 	d.unanswered(s, &httplink.Failure{Stage: httplink.StageDial, Peer: s.address, Err: err})
+	if death := s.crash.known(); death != "" {
+		return death
+	}
 	death := d.poison.Report(s.ref, running, time.Now())
+	s.crash.set(death)
 	d.journal.Add(journal.Event{
 		Kind:    journal.RequestSuspected,
 		Pool:    s.ref.Pool,
