--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -23,22 +23,26 @@
 type crashWatch struct {
 	mu      sync.Mutex
 	current *finding
-	// death is the one that was found last; empty once the server answered again.
+	// death is the one that was found last, at the time found.
 	death poison.DeathID
+	found time.Time
 }
 
-// known returns the death after which the server has not answered yet, or "".
-func (c *crashWatch) known() poison.DeathID {
+// before returns the last death when it was found after the given time: a
+// request that began before ran under that death.
+func (c *crashWatch) before(began time.Time) poison.DeathID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.death
+	if began.Before(c.found) {
+		return c.death
+	}
+	return ""
 }
 
-// set notes a death, or with "" that the server answers.
-func (c *crashWatch) set(death poison.DeathID) {
+func (c *crashWatch) note(death poison.DeathID, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.death = death
+	c.death, c.found = death, now
 }
 
 // finding is whether a server's process ended under its requests.
@@ -48,8 +52,11 @@
 }
 
 // crashed finds out whether the server's process ended, and returns the death
-// under which the request ran, or "".
-func (d *Dispatcher) crashed(s *server) poison.DeathID {
+// under which a request ran that began at the given time, or "".
+func (d *Dispatcher) crashed(s *server, began time.Time) poison.DeathID {
+	if death := s.crash.before(began); death != "" {
+		return death
+	}
 	f, first := s.crash.join()
 	if first {
 		f.death = d.find(s)
@@ -84,11 +91,8 @@
 		return ""
 	}
 	d.unanswered(s, &httplink.Failure{Stage: httplink.StageDial, Peer: s.address, Err: err})
-	if death := s.crash.known(); death != "" {
-		return death
-	}
 	death := d.poison.Report(s.ref, running, time.Now())
-	s.crash.set(death)
+	s.crash.note(death, time.Now())
 	d.journal.Add(journal.Event{
 		Kind:    journal.RequestSuspected,
 		Pool:    s.ref.Pool,
--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -91,7 +91,7 @@
 
 // broken names the death of the server under which a connection broke.
 func (r *request) broken(err error) *reason.Error {
-	death := r.dispatcher.crashed(r.server)
+	death := r.dispatcher.crashed(r.server, r.began)
 	refusal := reason.NewUnknown(reason.ServerLost, "send", r.work.Server.String(), "%v", err)
 	refusal.Death = string(death)
 	return refusal
