--- a/internal/rpc/meter.go
+++ b/internal/rpc/meter.go
@@ -36,10 +36,10 @@
 	return count, err
 }
 
-// Write implements io.Writer and counts.
+// Write implements io.Writer and counts what is handed to the connection. It
+// counts first: the peer may answer before a write returns.
 func (c *meteredConn) Write(p []byte) (int, error) {
-	count, err := c.Conn.Write(p)
-	c.meter.bytesOut.Add(int64(count))
+	c.meter.bytesOut.Add(int64(len(p)))
 	c.meter.messagesOut.Add(1)
-	return count, err
+	return c.Conn.Write(p)
 }
