Finish requests in progress before any service stops

Cause: at SIGTERM the coordinator, member and spread services stopped before the dispatcher had finished its requests, readiness stayed true, and a second signal was ignored.

A second signal or shutdown_seconds ends the wait; the log and the exit code 1 say how many requests were cut off. In the dispatcher package: a count of busy connections and Drain.

That the remaining daemons serve on is not asserted yet; it needs the real hand-over.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,7 @@
 	network *netx.Network
 	kernel  *kernel.Kernel
 	loop    *control.Loop
+	log     *zap.Logger
 }
 
 // New builds a daemon from its settings. The network may be nil.
@@ -43,7 +44,7 @@
 		network = &netx.Network{}
 	}
 	log = log.With(zap.String("daemon", string(c.Name)))
-	d := &Daemon{config: c, network: network, kernel: kernel.New(log), loop: control.NewLoop()}
+	d := &Daemon{config: c, network: network, kernel: kernel.New(log), loop: control.NewLoop(), log: log}
 	if err := d.provide(log); err != nil {
 		return nil, err
 	}
@@ -119,8 +120,33 @@
 	return nil
 }
 
-// Stop finishes the requests in progress and stops all services.
+// handOverTimeout bounds the wait until other daemons dispatch and coordinate
+// in this one's place. Without the platform it can't succeed.
+const handOverTimeout = 10 * time.Second
+
+// Stop leaves the fleet, finishes the requests in progress until ctx ends, and
+// stops all services. An error says what was cut off.
 func (d *Daemon) Stop(ctx context.Context) error {
+	d.kernel.Leave()
+	d.handOver(ctx)
+	err := d.kernel.Drain(ctx)
+	if stopErr := d.stopServices(ctx); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// handOver passes on dispatching and control. The daemon leaves also when that fails.
+func (d *Daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	err := d.kernel.Invoke(func(c *coordinator.Coordinator) error { return c.HandOver(ctx) })
+	if err != nil {
+		d.log.Warn("not handed over", zap.String("step", "hand over"), zap.Error(err))
+	}
+}
+
+func (d *Daemon) stopServices(ctx context.Context) error {
 	err := d.kernel.Stop(ctx)
 	d.loop.Close()
 	return err
@@ -136,5 +162,5 @@
 	d.network.Kill()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = d.Stop(ended)
+	_ = d.stopServices(ended)
 }
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -100,9 +100,20 @@
 	log.Info("stopping", zap.Stringer("signal", got))
 	ctx, cancel := context.WithTimeout(context.Background(), d.ShutdownTimeout())
 	defer cancel()
+	go endAtSignal(ctx, signals, cancel, log)
 	return d.Stop(ctx)
 }
 
+// endAtSignal ends the wait for the requests in progress at the next signal.
+func endAtSignal(ctx context.Context, signals <-chan os.Signal, end context.CancelFunc, log *zap.Logger) {
+	select {
+	case got := <-signals:
+		log.Warn("requests in progress are cut off", zap.Stringer("signal", got))
+		end()
+	case <-ctx.Done():
+	}
+}
+
 // NewLogger returns a structured logger that writes JSON lines.
 func NewLogger(level string, out io.Writer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -40,6 +40,7 @@
 
 	listener  net.Listener
 	http      *fasthttp.Server
+	busy      busyConns
 	stopWatch context.CancelFunc
 	watchDone chan struct{}
 }
@@ -85,6 +86,7 @@
 	d.config.DispatchAddress = listener.Addr().String()
 	d.http = &fasthttp.Server{
 		Handler:               d.handle,
+		ConnState:             d.busy.change,
 		StreamRequestBody:     true,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
--- /dev/null
+++ b/internal/dispatcher/drain.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const drainPoll = 20 * time.Millisecond // period at which Drain looks for requests in progress
+
+// busyConns holds the entries' connections with a request in progress, up to
+// the last byte of its answer. The zero value is ready to use.
+type busyConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// change follows the state of a connection.
+func (b *busyConns) change(conn net.Conn, state fasthttp.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state != fasthttp.StateActive {
+		delete(b.conns, conn)
+		return
+	}
+	if b.conns == nil {
+		b.conns = map[net.Conn]struct{}{}
+	}
+	b.conns[conn] = struct{}{}
+}
+
+func (b *busyConns) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
+}
+
+// Drain implements kernel.Drainer. It waits until no request is in progress;
+// entries are served meanwhile, so that no connection is closed under a request.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		left := d.busy.count()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "finish requests in progress: %d were cut off", left)
+		}
+	}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -1,11 +1,13 @@
 // Package kernel is the micro-kernel of the daemon. Services are built by a dig
-// container, find each other by name, start in the order of their needs and
-// stop in the reverse order.
+// container, find each other by name and start in the order of their needs. At
+// the end, work in progress is finished while all of them run; then they stop in
+// the reverse order.
 package kernel
 
 import (
 	"context"
 	"sort"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
@@ -29,12 +31,21 @@
 	Stop(ctx context.Context) error
 }
 
+// Drainer is a service with work in progress that must be finished while the
+// other services still run.
+type Drainer interface {
+	Service
+	// Drain finishes the work in progress, until ctx ends. Stop follows.
+	Drain(ctx context.Context) error
+}
+
 // Kernel holds the container and the services in their order.
 type Kernel struct {
 	container *dig.Container
 	log       *zap.Logger
 	services  []Service
 	started   []Service
+	leaving   atomic.Bool
 }
 
 // New returns an empty kernel.
@@ -151,9 +162,34 @@
 		}
 		list = append(list, state)
 	}
+	if k.leaving.Load() {
+		list = append(list, Readiness{Service: selfName, Why: "shutting down"})
+	}
 	return list
 }
 
+// selfName stands for the daemon as a whole in its readiness.
+const selfName Name = "daemon"
+
+// Leave makes the daemon not ready, so that no new work is sent to it.
+func (k *Kernel) Leave() { k.leaving.Store(true) }
+
+// Drain finishes the work in progress, in the reverse order of the start, while
+// all services run. It returns the first error.
+func (k *Kernel) Drain(ctx context.Context) error {
+	var first error
+	for i := len(k.started) - 1; i >= 0; i-- {
+		drainer, ok := k.started[i].(Drainer)
+		if !ok {
+			continue
+		}
+		if err := drainer.Drain(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "drain %s", drainer.Name())
+		}
+	}
+	return first
+}
+
 // Stop stops the started services in reverse order and returns the first error.
 func (k *Kernel) Stop(ctx context.Context) error {
 	var first error
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -57,6 +57,23 @@
 	must.Eq(t, []string{"start table", "start routing", "stop routing", "stop table"}, log.steps)
 }
 
+func (t *table) Drain(context.Context) error {
+	t.log.steps = append(t.log.steps, "drain table")
+	return nil
+}
+
+func TestWorkIsDrainedWhileAllServicesRun(t *testing.T) {
+	log := &record{}
+	k, err := build(t, log, nil)
+	must.NoError(t, err)
+	must.NoError(t, k.Start(context.Background()))
+	k.Leave()
+	must.False(t, k.Readiness()[2].Ready)
+	must.NoError(t, k.Drain(context.Background()))
+	must.NoError(t, k.Stop(context.Background()))
+	must.Eq(t, []string{"start table", "start routing", "drain table", "stop routing", "stop table"}, log.steps)
+}
+
 func TestFailedStartStopsWhatHadStarted(t *testing.T) {
 	log := &record{}
 	k, err := build(t, log, errors.New("port taken"))
--- /dev/null
+++ b/scenarios/cmd_download_test.go
@@ -0,0 +1,127 @@
+package scenarios
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/chicorylug/chicorylug/internal/wire"
+)
+
+func init() { commands["download"] = cmdDownload }
+
+// download is an answer that a caller reads slowly.
+type download struct {
+	answer *http.Response
+	read   atomic.Int64
+	err    error
+	done   chan struct{}
+}
+
+var downloads = map[*world]map[string]*download{}
+
+type downloadOptions struct {
+	To   string `long:"to" default:"d1"`
+	Rate int64  `long:"rate" default:"1000000" description:"bytes a second"`
+}
+
+const downloadPiece = 64 * 1024 // bytes read at one time
+
+// cmdDownload reads large answers slowly:
+//
+//	download start NAME [--to d1] [--rate BYTES] PATH   begins, and sets NAME_DISPATCHER, and OTHER to a daemon that has no part in it
+//	download flowing NAME                               part of the body has come, and not all
+//	download whole NAME                                 waits for the end; the body has to be whole
+//	download cut NAME                                   waits for the end; the caller has to see an error
+func cmdDownload(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: download start|flowing|whole|cut NAME")
+	}
+	name := args[1]
+	if args[0] == "start" {
+		startDownload(w, ts, name, args[2:])
+		return
+	}
+	d := downloads[w][name]
+	switch args[0] {
+	case "flowing":
+		await(ts, awaitTimeout, "download "+name, func() error {
+			if read := d.read.Load(); read == 0 || read >= d.answer.ContentLength {
+				return errors.Errorf("%d of %d bytes", read, d.answer.ContentLength)
+			}
+			return nil
+		})
+	case "whole":
+		<-d.done
+		ts.Check(d.err)
+	case "cut":
+		<-d.done
+		if d.err == nil {
+			ts.Fatalf("download %s was taken for whole", name)
+		}
+	}
+}
+
+func startDownload(w *world, ts *testscript.TestScript, name string, args []string) {
+	var o downloadOptions
+	rest := parse(ts, &o, args)
+	answer, err := http.Get("http://" + w.entries(ts, o.To)[0] + rest[0])
+	ts.Check(err)
+	if answer.StatusCode != http.StatusOK {
+		ts.Fatalf("download %s: status %d", name, answer.StatusCode)
+	}
+	d := &download{answer: answer, done: make(chan struct{})}
+	if downloads[w] == nil {
+		downloads[w] = map[string]*download{}
+	}
+	downloads[w][name] = d
+	dispatcher := answer.Header.Get(wire.HeaderDispatcher)
+	ts.Setenv(name+"_DISPATCHER", dispatcher)
+	ts.Setenv("OTHER", w.otherThan(o.To, dispatcher))
+	go d.run(o.Rate)
+}
+
+// otherThan returns the first daemon that is none of the named ones.
+func (w *world) otherThan(names ...string) string {
+	for _, d := range w.daemons {
+		if !slices.Contains(names, d.name) {
+			return d.name
+		}
+	}
+	return ""
+}
+
+// run reads the body at a rate and compares length and digest.
+func (d *download) run(rate int64) {
+	defer close(d.done)
+	defer d.answer.Body.Close()
+	sum := sha256.New()
+	began := time.Now()
+	for {
+		count, err := io.CopyN(sum, d.answer.Body, downloadPiece)
+		read := d.read.Add(count)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			d.err = err
+			return
+		}
+		due := time.Duration(read) * time.Second / time.Duration(rate)
+		time.Sleep(due - time.Since(began))
+	}
+	if got, want := hex.EncodeToString(sum.Sum(nil)), d.answer.Header.Get(wire.HeaderBodySHA256); got != want {
+		d.err = errors.Errorf("digest %s, want %s", got, want)
+	}
+	if length := d.answer.Header.Get("Content-Length"); length != strconv.FormatInt(d.read.Load(), 10) {
+		d.err = errors.Errorf("%d bytes, want %s", d.read.Load(), length)
+	}
+}
