--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,9 +24,10 @@
 const ServiceName kernel.Name = "entry"
 
 const (
-	maxHeaderBytes = 64 * 1024       // headers of a caller's request
-	idleTimeout    = 2 * time.Minute // a caller's connection without a request is closed after this
-	balancerGrace  = time.Second     // time in which the balancer learns that the daemon is leaving
+	maxHeaderBytes = 64 * 1024        // headers of a caller's request
+	readTimeout    = 30 * time.Second // bound of reading the headers of a request
+	idleTimeout    = 2 * time.Minute  // a caller's connection without a request is closed after this
+	balancerGrace  = time.Second      // time in which the balancer learns that the daemon is leaving
 )
 
 // Entry serves callers on the caller address.
@@ -96,6 +97,7 @@
 	e.http = &fasthttp.Server{
 		Handler:                      e.handle,
 		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -109,9 +109,11 @@
 	if found.pool.Keyed && found.key == "" {
 		return nil, reason.New(reason.KeyMissing, "route", string(found.route.Name), "the path names no key")
 	}
-	if err := checkKey(found.key); err != nil {
+	key, err := readKey(found.key)
+	if err != nil {
 		return nil, badRequest("%v", err)
 	}
+	found.key = key
 	return found, nil
 }
 
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -66,7 +66,18 @@
 	return nil
 }
 
-// checkKey refuses a key that can't travel in a header.
+// readKey decodes the key that the router captured from the path as the caller
+// wrote it, so that each key has one spelling, and refuses one that can't travel
+// in a header.
+func readKey(captured model.Key) (model.Key, error) {
+	decoded, err := url.PathUnescape(string(captured))
+	if err != nil {
+		return "", errors.New("the key has a broken percent-encoding")
+	}
+	key := model.Key(decoded)
+	return key, checkKey(key)
+}
+
 func checkKey(key model.Key) error {
 	if len(key) > maxKeyBytes {
 		return errors.Errorf("the key is longer than %d bytes", maxKeyBytes)
