entry: read on what a refused caller still sends

Cause: a connection that is closed over unread bytes is reset, and the caller may not see why its upload was refused. Found as a flaky refusal of an upload that was too large.

Change: up to 16 MiB and 2 s of a refused upload are read and dropped.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -221,6 +221,7 @@
 	for b.entry.admission.total() > 0 {
 		time.Sleep(watchPeriod)
 	}
+	must.NotNil(t, b.entry.metrics.Map("refusals").Get(string(reason.CallerGone)))
 	close(released)
 	b.answer = func(int, got) string { return fixed("own") }
 	must.Eq(t, "own", string(b.send(t, get("/drafts/a")).body))
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -63,6 +63,7 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(seconds)))
 	}
 	ctx.SetBody(refusal.JSON())
+	discardUpload(ctx)
 }
 
 // serve finds the route, admits the request and forwards it. It returns the
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -20,6 +20,9 @@
 const (
 	maxReplayBytes = 64 * 1024 // a body up to this size is held, so that it can be sent again
 	hexDigestBytes = 64        // length of a hex SHA-256
+
+	maxDiscardBytes = 16 * 1024 * 1024 // rest of a refused upload that is still read
+	discardTimeout  = 2 * time.Second  // time for which it is read
 )
 
 // upload is the body of a caller's request: held in memory, or a stream that
@@ -123,6 +126,17 @@
 	}
 }
 
+// discardUpload reads what a refused caller still sends. A connection that is
+// closed over unread bytes is reset, and the caller may not see the refusal.
+func discardUpload(ctx *fasthttp.RequestCtx) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil || ctx.Request.Header.ContentLength() > maxDiscardBytes {
+		return
+	}
+	_ = ctx.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, stream, maxDiscardBytes)
+}
+
 func digestOf(body []byte) string {
 	sum := sha256.Sum256(body)
 	return hex.EncodeToString(sum[:])
