--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -19,8 +19,18 @@
 )
 
 // attempts sends the request until it is answered, may not be sent again, or
-// its deadline has passed.
+// its deadline has passed. When one attempt may have run, the outcome of all is
+// unknown, whatever became of the last one.
 func (c *call) attempts() *reason.Error {
+	refusal := c.repeat()
+	if refusal != nil && refusal.Outcome == reason.NotRun && c.mayHaveRun {
+		refusal.Outcome = reason.Unknown
+		refusal.Message += "; an earlier attempt may have run"
+	}
+	return refusal
+}
+
+func (c *call) repeat() *reason.Error {
 	budget := c.entry.budgets.Of(c.found.route.Pool, c.found.route.Rank, c.found.pool.RetryPercent)
 	budget.First()
 	var backoff retry.Backoff
@@ -30,6 +40,7 @@
 		if refusal == nil {
 			return nil
 		}
+		c.mayHaveRun = c.mayHaveRun || refusal.Outcome != reason.NotRun
 		kind := c.retryKind(refusal)
 		if kind == retryNever {
 			return refusal
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	maxHeaderBytes = 64 * 1024        // headers of a caller's request
 	readTimeout    = 30 * time.Second // bound of reading the headers of a request
 	idleTimeout    = 2 * time.Minute  // a caller's connection without a request is closed after this
+	startWait      = 10 * time.Second // time after the start in which each pool's assignment is awaited
 	balancerGrace  = time.Second      // time in which the balancer learns that the daemon is leaving
 )
 
@@ -49,6 +50,8 @@
 	ids       *idSource
 	sample    atomic.Uint64
 
+	started  time.Time
+	ready    atomic.Bool
 	leaving  atomic.Bool
 	listener net.Listener
 	http     *fasthttp.Server
@@ -93,6 +96,7 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	e.listener = listener
+	e.started = time.Now()
 	e.config.CallerAddress = listener.Addr().String()
 	e.http = &fasthttp.Server{
 		Handler:                      e.handle,
@@ -117,17 +121,31 @@
 // Printf implements fasthttp.Logger.
 func (quietLogger) Printf(string, ...any) {}
 
-// Ready implements kernel.Service.
+// Ready implements kernel.Service. Once ready, the entry stays ready until it
+// leaves: a pool that is new or has no servers must not take the others down.
 func (e *Entry) Ready() error {
 	if e.leaving.Load() {
 		return errors.New("shutting down")
 	}
+	if e.ready.Load() {
+		return nil
+	}
+	if err := e.assigned(time.Since(e.started)); err != nil {
+		return err
+	}
+	e.ready.Store(true)
+	return nil
+}
+
+// assigned returns nil when each pool has an assignment or, later after the
+// start, when at least one has.
+func (e *Entry) assigned(age time.Duration) error {
 	snapshot := e.directory.Load()
 	if snapshot.Settings == nil {
 		return errors.New("no settings in force")
 	}
 	for name := range snapshot.Settings.Pools {
-		if snapshot.Pools[name] == nil {
+		if snapshot.Pools[name] == nil && (age < startWait || len(snapshot.Pools) == 0) {
 			return errors.Errorf("pool %s has no assignment yet", name)
 		}
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
@@ -237,3 +238,18 @@
 	must.Eq(t, reason.DispatcherLost, b.send(t, get("/drafts/a")).reason.Code)
 	must.Len(t, 1+maxLoadRetries, b.received())
 }
+
+func TestEarlierAttemptThatMayHaveRunDecidesTheOutcome(t *testing.T) {
+	b := startBench(t)
+	b.answer = func(number int, g got) string {
+		if number == 1 {
+			return ""
+		}
+		refusal := reason.New(reason.QueueFull, "queue", "s1", "full")
+		refusal.RequestID = model.RequestID(g.header.Get(wire.HeaderRequestID))
+		return strings.Replace(fixed(string(refusal.JSON()), wire.HeaderReason+": queue_full"), "200 OK", "429 x", 1)
+	}
+	answer := b.send(t, get("/drafts/a"))
+	must.Eq(t, reason.QueueFull, answer.reason.Code)
+	must.Eq(t, reason.Unknown, answer.reason.Outcome)
+}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -26,9 +26,10 @@
 	reserved int64 // bytes of buffers taken from the rank
 
 	// context ends at the deadline, and early when the caller is gone.
-	context context.Context
-	cancel  context.CancelFunc
-	streams bool // the answer's body is read after the handler returned
+	context    context.Context
+	cancel     context.CancelFunc
+	streams    bool // the answer's body is read after the handler returned
+	mayHaveRun bool // an attempt ended with an unknown outcome
 }
 
 // handle serves one request of a caller.
--- a/scenarios/cmd_entry_test.go
+++ b/scenarios/cmd_entry_test.go
@@ -18,6 +18,7 @@
 	commands["runs"] = cmdRuns
 	commands["refusals"] = cmdRefusals
 	commands["pause"] = cmdPause
+	commands["arrived"] = cmdArrived
 }
 
 // begun is a request that was sent in the background.
@@ -130,3 +131,27 @@
 	ts.Check(err)
 	time.Sleep(pause)
 }
+
+// cmdArrived asserts that the servers were sent at most LIMIT requests since
+// the last call, those that they refused included:
+//
+//	arrived mark
+//	arrived LIMIT
+func cmdArrived(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	total := 0
+	for _, s := range w.servers {
+		stats := w.stats(ts, s)
+		total += stats.Runs + stats.Refused
+	}
+	if args[0] == "mark" {
+		ts.Setenv("ARRIVED", strconv.Itoa(total))
+		return
+	}
+	limit, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	before, err := strconv.Atoi(ts.Getenv("ARRIVED"))
+	ts.Check(err)
+	if arrived := total - before; arrived > limit {
+		ts.Fatalf("%d requests arrived at the servers, want at most %d", arrived, limit)
+	}
+}
