--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/dispatcher"
 	"github.com/chicorylug/chicorylug/internal/entry"
+	"github.com/chicorylug/chicorylug/internal/inspect"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/member"
@@ -24,9 +25,11 @@
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
+	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // Daemon is one chicorylugd.
@@ -63,6 +66,9 @@
 		directory.New,
 		ownership.NewGate,
 		observe.NewBoard,
+		poison.NewTable,
+		tally.New,
+		inspect.New,
 		rpc.NewServer,
 		rpc.NewClient,
 		newPlatform,
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,6 +41,7 @@
 			return nil
 		}
 		c.mayHaveRun = c.mayHaveRun || refusal.Outcome != reason.NotRun
+		c.work.Death = refusal.Death
 		kind := c.retryKind(refusal)
 		if kind == retryNever {
 			return refusal
@@ -87,7 +88,7 @@
 			return retryFree
 		}
 		return c.ifIdempotent()
-	case reason.ServerLost, reason.ShortAnswer, reason.DigestMismatch:
+	case reason.ServerLost, reason.ServerTimeout, reason.ShortAnswer, reason.DigestMismatch:
 		return c.ifIdempotent()
 	default:
 		return retryNever
