entry: the outcome of a request is that of all its attempts

Cause: when an attempt may have run and a retry of it was refused as not run, the caller was told not_run. Found by request_not_run_is_true: "told not run (dispatcher_lost) but ran on drafts-2". The mark of a server's death was lost when the retry after it was refused for another reason.

The mark is kept.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,7 +41,9 @@
 			return nil
 		}
 		c.mayHaveRun = c.mayHaveRun || refusal.Outcome != reason.NotRun
-		c.work.Death = refusal.Death
+		if refusal.Death != "" {
+			c.work.Death = refusal.Death
+		}
 		kind := c.retryKind(refusal)
 		if kind == retryNever {
 			return refusal
