--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/admin"
+	"github.com/chicorylug/chicorylug/internal/agent"
+	"github.com/chicorylug/chicorylug/internal/assignments"
+	"github.com/chicorylug/chicorylug/internal/attest"
 	"github.com/chicorylug/chicorylug/internal/claim"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/control"
@@ -71,6 +74,7 @@
 		inspect.New,
 		rpc.NewServer,
 		rpc.NewClient,
+		assignments.New,
 		newPlatform,
 		claim.New,
 	} {
@@ -88,6 +92,8 @@
 		func() error { return kernel.Add[*spread.Spread](d.kernel, spread.New) },
 		func() error { return kernel.Add[*member.Member](d.kernel, member.New) },
 		func() error { return kernel.Add[*settingstore.Store](d.kernel, settingstore.New) },
+		func() error { return kernel.Add[*attest.Attest](d.kernel, attest.New) },
+		func() error { return kernel.Add[*agent.Agent](d.kernel, agent.New) },
 		func() error { return kernel.Add[*coordinator.Coordinator](d.kernel, coordinator.New) },
 		func() error { return kernel.Add[*claim.Sweeper](d.kernel, claim.NewSweeper) },
 		func() error { return kernel.Add[*entry.Entry](d.kernel, entry.New) },
