--- a/scenarios/cmd_download_test.go
+++ b/scenarios/cmd_download_test.go
@@ -86,12 +86,12 @@
 	downloads[w][name] = d
 	dispatcher := answer.Header.Get(wire.HeaderDispatcher)
 	ts.Setenv(name+"_DISPATCHER", dispatcher)
-	ts.Setenv("OTHER", w.otherThan(o.To, dispatcher))
+	ts.Setenv("OTHER", w.uninvolved(o.To, dispatcher))
 	go d.run(o.Rate)
 }
 
-// otherThan returns the first daemon that is none of the named ones.
-func (w *world) otherThan(names ...string) string {
+// uninvolved returns the first daemon that is none of the named ones.
+func (w *world) uninvolved(names ...string) string {
 	for _, d := range w.daemons {
 		if !slices.Contains(names, d.name) {
 			return d.name
