--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -45,6 +45,7 @@
 
 	listener  net.Listener
 	http      *fasthttp.Server
+	busy      busyConns
 	stopWatch context.CancelFunc
 	watchDone chan struct{}
 	// permitsChanged wakes the watch.
@@ -118,6 +119,7 @@
 	d.config.DispatchAddress = listener.Addr().String()
 	d.http = &fasthttp.Server{
 		Handler:           d.handle,
+		ConnState:         d.busy.change,
 		StreamRequestBody: true,
 		// Forms are passed on as they are, never unpacked to files.
 		DisablePreParseMultipartForm: true,
