Drain a server by the settings

Cause: an operator could list a server as drained, but no coordinator heeded it. Change: the coordinator takes a server that its pool's settings drain as leaving, with the cause 'an operator drains it' (three lines in internal/coordinator).

--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -89,7 +89,7 @@
 		view.Servers = append(view.Servers, PoolServer{
 			Server:  server,
 			Shards:  owned[server.ID],
-			Drained: slices.Contains(pool.Drain, server.ID),
+			Drained: pool.Drained(server.ID),
 		})
 	}
 	return view
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -119,6 +119,9 @@
 			Weight:  state.weight(now, slowStart),
 		}
 		listed.State, listed.Cause = state.judge(instance.State, now)
+		if listed.State == ownership.ServerActive && pool.Drained(listed.ID) {
+			listed.State, listed.Cause = ownership.ServerLeaving, "an operator drains it"
+		}
 		servers = append(servers, listed)
 	}
 	return servers
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -123,6 +124,9 @@
 	DefaultMaxBodyBytes     = 1 << 30
 )
 
+// Drained reports that operators take a server out of service.
+func (p *Pool) Drained(server model.ServerID) bool { return slices.Contains(p.Drain, server) }
+
 // Timeout returns the route's deadline.
 func (r *Route) Timeout() time.Duration {
 	return time.Duration(r.TimeoutMS) * time.Millisecond
--- a/scenarios/cmd_operators_test.go
+++ b/scenarios/cmd_operators_test.go
@@ -39,6 +39,7 @@
 	commands["in-force"] = cmdInForce
 	commands["versions"] = cmdVersions
 	commands["race"] = cmdRace
+	commands["owns"] = cmdOwns
 	commands["env-config"] = cmdEnvConfig
 	commands["last-request"] = cmdLastRequest
 	commands["quickstart"] = cmdQuickstart
@@ -385,3 +386,27 @@
 	text := strings.ReplaceAll(ts.ReadFile(args[0]), "127.0.0.1", own)
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644))
 }
+
+// cmdOwns waits until a server owns no shards in a state, or some:
+//
+//	owns SERVER none|some STATE
+func cmdOwns(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	await(ts, awaitTimeout, args[0]+" owns "+args[1], func() error {
+		out, err := w.tool(ts, "pools", "--json").Output()
+		if err != nil {
+			return err
+		}
+		var pools []admin.Pool
+		if err := json.Unmarshal(out, &pools); err != nil {
+			return err
+		}
+		for _, pool := range pools {
+			for _, s := range pool.Servers {
+				if string(s.ID) == args[0] && string(s.State) == args[2] && (s.Shards == 0) == (args[1] == "none") {
+					return nil
+				}
+			}
+		}
+		return errors.Errorf("%s", out)
+	})
+}
