--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -54,6 +54,9 @@
 		Progress:   progress,
 	})
 	end()
+	if err != nil && report != nil {
+		_ = c.global.printReport(report) // what was measured until then
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/flood.go
+++ b/internal/experiment/flood.go
@@ -48,6 +48,7 @@
 // rankResult is what one rank got in one phase.
 type rankResult struct {
 	offered   atomic.Int64
+	served    atomic.Int64 // answered before the phase ended
 	inTarget  atomic.Int64
 	latencies *latencies
 }
@@ -210,6 +211,7 @@
 	deadline := deadlineOf(f.ranks[rank])
 	target := time.Duration(f.ranks[rank].TargetMS) * time.Millisecond
 	load := arrivals{rate: rate, duration: f.duration, seed: f.options.Seed + uint64(rank)}
+	end := time.Now().Add(f.duration)
 	load.run(ctx, func(number int, intended time.Time) {
 		result.offered.Add(1)
 		key := model.Key(fmt.Sprintf("k%d", rand.New(rand.NewPCG(load.seed, uint64(number))).IntN(floodKeys)))
@@ -220,6 +222,9 @@
 		}
 		latency := time.Since(intended)
 		result.latencies.add(latency)
+		if time.Now().Before(end) {
+			result.served.Add(1)
+		}
 		if latency <= target {
 			result.inTarget.Add(1)
 		}
@@ -228,7 +233,7 @@
 
 func (f *floodRun) add(t *Table, phase floodPhase, rank int, result *rankResult) {
 	seconds := f.duration.Seconds()
-	served := float64(result.latencies.count()) / seconds
+	served := float64(result.served.Load()) / seconds
 	offered := float64(result.offered.Load())
 	t.add(phase.name, f.ranks[rank].Name, offered/seconds, served,
 		100*served/f.capacity, f.ranks[rank].FloorPercent, 100*float64(result.inTarget.Load())/max(1, offered),
