--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -150,6 +150,9 @@
 	exchange, failure := r.server.links.Do(r.attempt, out, r.answer)
 	if failure != nil {
 		refusal := r.failed(failure)
+		if !failure.Sent {
+			r.ticket.Answered()
+		}
 		r.free(r.spent(refusal))
 		r.releaseAnswer()
 		return refusal
@@ -233,6 +236,7 @@
 func (r *request) done() {
 	r.unhook()
 	_ = r.exchange.Close()
+	r.ticket.Answered()
 	r.free(time.Since(r.began))
 	if r.alone {
 		r.dispatcher.poison.Clear(r.fingerprint, poison.DeathID(r.work.Death), time.Now())
