--- a/internal/experiment/flood.go
+++ b/internal/experiment/flood.go
@@ -177,6 +177,7 @@
 		{"flood of " + string(f.ranks[0].Name), 0},
 		{"after", -1},
 	}
+	defer f.noteServers(r, system)
 	t := r.table(system, "phase", "rank", "offered/s", "served/s", "kept %", "floor %", "within target %", "p50", "p99")
 	for _, phase := range phases {
 		f.options.progress("%s: %s", system, phase.name)
@@ -239,3 +240,15 @@
 		100*served/f.capacity, f.ranks[rank].FloorPercent, 100*float64(result.inTarget.Load())/max(1, offered),
 		result.latencies.quantile(50), result.latencies.quantile(99))
 }
+
+// noteServers adds what the servers and daemons counted until now.
+func (f *floodRun) noteServers(r *Report, system string) {
+	inUse, refused := 0, 0
+	for _, server := range f.fleet.Servers {
+		stats := server.Stats()
+		inUse += stats.InUse
+		refused += stats.Refused
+	}
+	r.note("after %s: %d slots still in use, %d requests shed by servers; refusals by daemons: %s; retries: %s",
+		system, inUse, refused, counted(f.fleet, "refusals"), counted(f.fleet, "retries"))
+}
