--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -11,6 +11,7 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/settings"
+	"github.com/chicorylug/chicorylug/internal/tally"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -26,9 +27,12 @@
 	reserved int64 // bytes of buffers taken from the rank
 
 	// context ends at the deadline, and early when the caller is gone.
-	context context.Context
-	cancel  context.CancelFunc
-	streams bool // the answer's body is read after the handler returned
+	context    context.Context
+	cancel     context.CancelFunc
+	tallied    func(refused bool) // counts the end of the call
+	refused    bool
+	streams    bool // the answer's body is read after the handler returned
+	mayHaveRun bool // an attempt ended with an unknown outcome
 }
 
 // handle serves one request of a caller.
@@ -63,6 +67,7 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(seconds)))
 	}
 	ctx.SetBody(refusal.JSON())
+	discardUpload(ctx)
 }
 
 // serve finds the route, admits the request and forwards it. It returns the
@@ -77,11 +82,15 @@
 		return id, refusal
 	}
 	rank := e.admission.rank(found.rank)
+	tallied := e.metrics.Tally().Begin(tally.Subject{Pool: found.route.Pool, Rank: found.route.Rank})
 	if refusal := rank.enter(); refusal != nil {
+		tallied(true)
 		return id, refusal
 	}
 	c := e.newCall(ctx, found, id)
+	c.tallied = tallied
 	answeredAs, refusal := c.run()
+	c.refused = refusal != nil
 	if !c.streams {
 		c.end()
 	}
@@ -109,9 +118,11 @@
 	if found.pool.Keyed && found.key == "" {
 		return nil, reason.New(reason.KeyMissing, "route", string(found.route.Name), "the path names no key")
 	}
-	if err := checkKey(found.key); err != nil {
+	key, err := readKey(found.key)
+	if err != nil {
 		return nil, badRequest("%v", err)
 	}
+	found.key = key
 	return found, nil
 }
 
@@ -212,6 +223,7 @@
 
 // end gives back what the call took.
 func (c *call) end() {
+	c.tallied(c.refused)
 	if c.cancel != nil {
 		c.cancel()
 	}
