--- a/internal/settingstore/accept.go
+++ b/internal/settingstore/accept.go
@@ -160,13 +160,17 @@
 	return err
 }
 
-// Version returns an accepted version from the table; zero stands for the current one.
+// Version returns an accepted version from the table; zero stands for the
+// current one, or while the table is down for the newest that this daemon knows.
 func (s *Store) Version(ctx context.Context, v settings.Version) (Record, error) {
-	if v == 0 {
-		now, err := s.table.current(ctx)
-		return now.Record, err
+	if v != 0 {
+		return s.table.version(ctx, v)
 	}
-	return s.table.version(ctx, v)
+	now, err := s.table.current(ctx)
+	if known := s.newest(); errors.Is(err, platform.ErrUnavailable) && known != nil {
+		return *known, nil
+	}
+	return now.Record, err
 }
 
 // History returns the kept versions without their texts, newest first.
