--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -4,10 +4,11 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylug/chicorylug/internal/httplink"
 )
 
 const watchPeriod = 50 * time.Millisecond // time between two looks at the callers' connections
@@ -67,7 +68,7 @@
 
 func (w *callerWatch) look() {
 	for _, c := range w.slow() {
-		if closedByPeer(c.conn) {
+		if httplink.Closed(c.conn) {
 			c.cancel(errCallerGone)
 			w.remove(c)
 		}
@@ -87,22 +88,3 @@
 	}
 	return slow
 }
-
-// closedByPeer reports that the other side closed the connection.
-func closedByPeer(conn net.Conn) bool {
-	sys, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		count, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = (errno == nil && count == 0) || (errno != nil && errno != syscall.EAGAIN && errno != syscall.EINTR)
-	})
-	return err != nil || closed
-}
