kernel: ask only started services for their readiness

Cause: /readyz, served once the admin service had started, called Ready on services that were still inside Start. Change: a service that has not started is not ready, and is not asked. Seen: go test ./internal/kernel ./internal/fleet green; the readiness test now starts the services first and also covers the time before.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -14,6 +14,9 @@
 	"go.uber.org/zap"
 )
 
+// ErrNotStarted says that a service has not started yet or was stopped.
+var ErrNotStarted = errors.New("kernel: the service is not started")
+
 // Name identifies a service.
 type Name string
 
@@ -44,8 +47,10 @@
 	container *dig.Container
 	log       *zap.Logger
 	services  []Service
-	started   []Service
-	leaving   atomic.Bool
+	// started counts the services, from the first on, that have started and not
+	// been stopped. Other goroutines ask for the readiness meanwhile.
+	started atomic.Int32
+	leaving atomic.Bool
 }
 
 // New returns an empty kernel.
@@ -139,7 +144,7 @@
 			k.log.Error("start failed", zap.String("step", string(s.Name())), zap.Error(err), zap.NamedError("stop", stopErr))
 			return errors.Wrapf(err, "start %s", s.Name())
 		}
-		k.started = append(k.started, s)
+		k.started.Add(1)
 	}
 	return nil
 }
@@ -154,9 +159,9 @@
 // Readiness returns the state of each service.
 func (k *Kernel) Readiness() []Readiness {
 	list := make([]Readiness, 0, len(k.services))
-	for _, s := range k.services {
+	for i, s := range k.services {
 		state := Readiness{Service: s.Name(), Ready: true}
-		if err := s.Ready(); err != nil {
+		if err := k.ready(i); err != nil {
 			state.Ready = false
 			state.Why = err.Error()
 		}
@@ -168,6 +173,15 @@
 	return list
 }
 
+// ready asks the service at a position. One that has not started is not asked:
+// it may still be setting itself up.
+func (k *Kernel) ready(position int) error {
+	if position >= int(k.started.Load()) {
+		return ErrNotStarted
+	}
+	return k.services[position].Ready()
+}
+
 // selfName stands for the daemon as a whole in its readiness.
 const selfName Name = "daemon"
 
@@ -178,8 +192,8 @@
 // all services run. It returns the first error.
 func (k *Kernel) Drain(ctx context.Context) error {
 	var first error
-	for i := len(k.started) - 1; i >= 0; i-- {
-		drainer, ok := k.started[i].(Drainer)
+	for i := int(k.started.Load()) - 1; i >= 0; i-- {
+		drainer, ok := k.services[i].(Drainer)
 		if !ok {
 			continue
 		}
@@ -193,12 +207,12 @@
 // Stop stops the started services in reverse order and returns the first error.
 func (k *Kernel) Stop(ctx context.Context) error {
 	var first error
-	for i := len(k.started) - 1; i >= 0; i-- {
-		s := k.started[i]
+	for i := int(k.started.Load()) - 1; i >= 0; i-- {
+		s := k.services[i]
+		k.started.Store(int32(i))
 		if err := s.Stop(ctx); err != nil && first == nil {
 			first = errors.Wrapf(err, "stop %s", s.Name())
 		}
 	}
-	k.started = nil
 	return first
 }
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -17,13 +17,14 @@
 type base struct {
 	name  kernel.Name
 	after []kernel.Name
-	fail  error
+	fail  error // of Start
+	ready error
 	log   *record
 }
 
 func (b *base) Name() kernel.Name    { return b.name }
 func (b *base) After() []kernel.Name { return b.after }
-func (b *base) Ready() error         { return b.fail }
+func (b *base) Ready() error         { return b.ready }
 func (b *base) Start(context.Context) error {
 	b.log.steps = append(b.log.steps, "start "+string(b.name))
 	return b.fail
@@ -83,12 +84,21 @@
 }
 
 func TestServicesAreFoundByNameAndTellTheirReadiness(t *testing.T) {
-	k, err := build(t, &record{}, errors.New("no assignment yet"))
+	k, err := build(t, &record{}, nil)
 	must.NoError(t, err)
-	_, found := k.Find("routing")
-	must.True(t, found)
-	_, found = k.Find("nothing")
-	must.False(t, found)
+	found, ok := k.Find("routing")
+	must.True(t, ok)
+	_, ok = k.Find("nothing")
+	must.False(t, ok)
+
+	notStarted := kernel.ErrNotStarted.Error()
+	must.Eq(t, []kernel.Readiness{
+		{Service: "table", Why: notStarted},
+		{Service: "routing", Why: notStarted},
+	}, k.Readiness())
+
+	must.NoError(t, k.Start(context.Background()))
+	found.(*routing).ready = errors.New("no assignment yet")
 	must.Eq(t, []kernel.Readiness{
 		{Service: "table", Ready: true},
 		{Service: "routing", Why: "no assignment yet"},
