coordinator: take the lease again after a foreign write of the assignment

Cause: a controller that met another write of its row ended for good while its candidate went on to renew the lease, so that the pool had no control. Change: the candidate gives the term up and competes for the next one. Conclusion: found by reading; no run showed it.

--- a/internal/coordinator/candidate.go
+++ b/internal/coordinator/candidate.go
@@ -92,6 +92,9 @@
 	switch {
 	case leaving:
 		return leaseRetry
+	case ctl != nil && ctl.hasEnded():
+		cand.lose(ctx, ctl)
+		return cand.tryTake(ctx)
 	case ctl != nil:
 		return cand.renew(ctx, ctl)
 	case watches:
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// hasEnded reports that another write of the assignment ended the controller.
+func (ctl *controller) hasEnded() bool {
+	ctl.lease.mu.Lock()
+	defer ctl.lease.mu.Unlock()
+	return ctl.lease.ended
+}
+
 func (ctl *controller) poke() {
 	select {
 	case ctl.wake <- struct{}{}:
