Model most of the fleet cut off from the coordinator; callers inside a partition

Cause: a barrier told to less than half of the fleet, and a barrier without its wait in ownership_partition, went unseen: in the scenario the senders were stuck on keys whose dispatcher the cut daemon could not reach.

--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -282,11 +282,13 @@
 	}
 	late := w.lateAnswer(t, d)
 	w.request(t)
-	switch rapid.IntRange(0, 2).Draw(t, "fault") {
+	switch rapid.IntRange(0, 3).Draw(t, "fault") {
 	case 0:
 		w.kill(d)
 	case 1:
 		d.paused = true
+	case 2:
+		w.cutAllButOne(d)
 	default:
 		w.cut(t, d)
 	}
@@ -312,6 +314,21 @@
 	late()
 }
 
+// cutAllButOne cuts a dispatcher and all but one of the other daemons from the coordinator.
+func (w *modelWorld) cutAllButOne(d *modelDaemon) {
+	d.cut = cutFromCoordinator
+	spared := false
+	for _, other := range w.daemons {
+		if other == d || other.coord != nil {
+			continue
+		}
+		if spared {
+			other.cut = cutFromCoordinator
+		}
+		spared = true
+	}
+}
+
 // lateAnswer lets a daemon renew and holds the coordinator's answer back.
 func (w *modelWorld) lateAnswer(t *rapid.T, d *modelDaemon) func() {
 	w.flush()
@@ -535,7 +552,7 @@
 func (w *modelWorld) askAll(d *modelDaemon, answered func(Statement)) {
 	knowledge := d.witness.Knowledge()
 	for _, other := range w.daemons {
-		if other == d || d.cut == cutFromAll || other.cut == cutFromAll {
+		if other == d || !w.reaches(d, other) {
 			continue
 		}
 		w.send(other, func() {
@@ -546,6 +563,14 @@
 	}
 }
 
+// reaches reports that messages pass between two daemons.
+func (w *modelWorld) reaches(a, b *modelDaemon) bool {
+	if a.cut == cutFromAll || b.cut == cutFromAll {
+		return false
+	}
+	return (a.coord == nil || b.cut != cutFromCoordinator) && (b.coord == nil || a.cut != cutFromCoordinator)
+}
+
 // tell begins to tell the fleet, for the barrier.
 func (w *modelWorld) tell(d *modelDaemon) {
 	c := d.coord
