--- a/scenarios/cmd_ownership_test.go
+++ b/scenarios/cmd_ownership_test.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// dispatcherTimeout bounds one try: a request towards a cut-off daemon only ends at its deadline.
+const dispatcherTimeout = "1s"
+
 type dispatcherOptions struct {
 	Keys   int    `long:"n" default:"1" description:"number of keys to look at; {n} in the path"`
 	Unlike string `long:"unlike" description:"daemon that is not asked and must not be the answer"`
@@ -64,7 +67,7 @@
 	if len(rest) != 2 {
 		ts.Fatalf("usage: dispatcher [--unlike NAME] PATH VAR")
 	}
-	request := requestOptions{Status: "200", Timeout: "30s"}
+	request := requestOptions{Status: "200", Timeout: dispatcherTimeout}
 	number := -1
 	await(ts, awaitTimeout, "dispatcher of "+rest[0], func() error {
 		number = (number + 1) % o.Keys
