entry: believe only answers that name the request; bound headers on the whole path

Cause: an error that the dispatcher's HTTP library made itself was passed on as a server's answer, and headers over 4 KiB, accepted by the entry, failed at the dispatcher or counted as a lost server.

Change: a dispatcher's answer names its request, and an entry drops one that names another or none (outcome unknown). The entry takes 16 KiB of headers and refuses more with the documented shape; dispatchers and links take 20 KiB. A server can't set the header that marks a daemon's refusal.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -51,9 +51,11 @@
 	r.answer.Header.CopyTo(&r.http.Response.Header)
 	header := &r.http.Response.Header
 	header.ResetConnectionClose()
+	header.Del(wire.HeaderReason)
 	header.Set(wire.HeaderServer, string(r.work.Server.Server))
 	header.Set(wire.HeaderEpoch, strconv.FormatUint(uint64(r.work.Epoch), 10))
 	header.Set(wire.HeaderDispatcher, string(r.dispatcher.config.Name))
+	header.Set(wire.HeaderRequestID, string(r.work.Request))
 }
 
 // hold reads a small answer to its end, so that the slot is free at once.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,10 @@
 // ServiceName is the dispatcher's name in the kernel.
 const ServiceName kernel.Name = "dispatcher"
 
+// maxHeaderBytes bounds the headers of an entry's request: those that an entry
+// accepts and its own.
+const maxHeaderBytes = 20 * 1024
+
 // Dispatcher serves entries on the dispatch address.
 type Dispatcher struct {
 	config    *config.Config
@@ -119,6 +123,7 @@
 	d.config.DispatchAddress = listener.Addr().String()
 	d.http = &fasthttp.Server{
 		Handler:           d.handle,
+		ReadBufferSize:    maxHeaderBytes,
 		ConnState:         d.busy.change,
 		StreamRequestBody: true,
 		// Forms are passed on as they are, never unpacked to files.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -37,6 +37,10 @@
 		defer a.end()
 		return a.refusal()
 	}
+	if string(a.received.Header.Peek(wire.HeaderRequestID)) != string(a.call.work.Request) {
+		defer a.end()
+		return reason.NewUnknown(reason.DispatcherLost, "answer", a.peer, "the answer is not for this request")
+	}
 	a.body = newVerified(a.exchange, int64(a.exchange.Length()), maxAnswerBytes, a.stated())
 	a.rest = a.body
 	if a.exchange.Length() > a.holdLimit() || !a.holdable() {
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -124,10 +124,19 @@
 	number := len(b.got)
 	b.mu.Unlock()
 	if g.body != nil {
-		_, _ = io.WriteString(conn, b.answer(number, g))
+		_, _ = io.WriteString(conn, withID(b.answer(number, g), g.header.Get(wire.HeaderRequestID)))
 	}
 }
 
+// withID names the request in a raw answer that names none.
+func withID(raw, id string) string {
+	line, rest, found := strings.Cut(raw, "\r\n")
+	if !found || strings.Contains(rest, wire.HeaderRequestID) {
+		return raw
+	}
+	return line + "\r\n" + wire.HeaderRequestID + ": " + id + "\r\n" + rest
+}
+
 // received returns the requests that reached the dispatcher since the last call.
 func (b *bench) received() []got {
 	b.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,7 +24,7 @@
 const ServiceName kernel.Name = "entry"
 
 const (
-	maxHeaderBytes = 64 * 1024        // headers of a caller's request
+	maxHeaderBytes = 16 * 1024        // headers of a caller's request
 	readTimeout    = 30 * time.Second // bound of reading the headers of a request
 	idleTimeout    = 2 * time.Minute  // a caller's connection without a request is closed after this
 	startWait      = 10 * time.Second // time after the start in which each pool's assignment is awaited
@@ -100,6 +100,7 @@
 	e.config.CallerAddress = listener.Addr().String()
 	e.http = &fasthttp.Server{
 		Handler:                      e.handle,
+		ErrorHandler:                 e.refuseUnread,
 		ReadBufferSize:               maxHeaderBytes,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -205,6 +205,25 @@
 	must.Eq(t, reason.Unknown, answer.reason.Outcome)
 }
 
+func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	b := startBench(t)
+	b.answer = func(int, got) string { return fixed("another's", wire.HeaderRequestID+": another") }
+	answer := b.send(t, put("x", "", "Content-Length: 1"))
+	must.Eq(t, reason.DispatcherLost, answer.reason.Code)
+	must.Eq(t, reason.Unknown, answer.reason.Outcome)
+}
+
+func TestLargeHeadersPassOrAreRefused(t *testing.T) {
+	b := startBench(t)
+	b.answer = func(_ int, g got) string { return fixed("x", "X-Large: "+g.header.Get("X-Large")) }
+	large := strings.Repeat("h", maxHeaderBytes*3/4)
+	answer := b.send(t, get("/drafts/a", "X-Large: "+large))
+	must.Nil(t, answer.reason, must.Sprintf("%.300v", answer.reason))
+	must.Eq(t, large, answer.header.Get("X-Large"))
+	answer = b.send(t, get("/drafts/a", "X-Large: "+large+large))
+	must.Eq(t, reason.BadRequest, answer.reason.Code)
+}
+
 func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
 	b := startBench(t)
 	reached := make(chan struct{}, 1)
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -70,6 +70,15 @@
 	discardUpload(ctx)
 }
 
+// refuseUnread answers a caller whose request could not be read.
+func (e *Entry) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	refusal := badRequest("the request can't be read: %v", err)
+	refusal.RequestID = e.ids.next()
+	e.refuse(ctx, refusal)
+	ctx.Response.Header.Set(wire.HeaderRequestID, string(refusal.RequestID))
+	ctx.SetConnectionClose()
+}
+
 // serve finds the route, admits the request and forwards it. It returns the
 // id of the request whose answer was set.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, id model.RequestID) (model.RequestID, *reason.Error) {
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -9,8 +9,9 @@
 
 // Limits of a connection.
 const (
-	bufferBytes = 4096             // read and write buffer of one connection
-	idleLimit   = 20 * time.Second // idle connections are closed after this
+	readBytes  = 20 * 1024        // read buffer of one connection, which bounds the headers of an answer
+	writeBytes = 4096             // write buffer of one connection
+	idleLimit  = 20 * time.Second // idle connections are closed after this
 )
 
 // Dial opens a connection to an address.
@@ -120,8 +121,8 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw}
-	c.reader = bufio.NewReaderSize(c, bufferBytes)
-	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	c.reader = bufio.NewReaderSize(c, readBytes)
+	c.writer = bufio.NewWriterSize(c, writeBytes)
 	return c, nil
 }
 
