entry: watch deadlines together instead of one timer for each call

Cause: each call held two contexts and a timer, though dispatchers keep the deadline exactly and the entry's is a second line.

Change: the goroutine that looks at callers' connections also cancels calls past their deadline.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,7 +46,7 @@
 	servers   *serverLoads
 	budgets   *retry.Budgets
 	admission admission
-	watch     *callerWatch
+	watch     *callWatch
 	ids       *idSource
 	sample    atomic.Uint64
 
@@ -78,7 +78,7 @@
 		links:     newLinks(network.Dial),
 		servers:   newServerLoads(),
 		budgets:   retry.NewBudgets(),
-		watch:     newCallerWatch(),
+		watch:     newCallWatch(),
 		ids:       newIDSource(),
 	}
 }
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -28,7 +28,7 @@
 
 	// context ends at the deadline, and early when the caller is gone.
 	context    context.Context
-	cancel     context.CancelFunc
+	watched    *watchedCall
 	tallied    func(refused bool) // counts the end of the call
 	refused    bool
 	streams    bool // the answer's body is read after the handler returned
@@ -173,18 +173,25 @@
 		return c.work.Request, refusal
 	}
 	cleanRequest(&c.ctx.Request.Header)
-	watched, gone := context.WithCancelCause(context.Background())
-	deadline, cancel := context.WithDeadline(watched, c.work.Deadline)
-	c.context = deadline
-	c.cancel = func() { cancel(); gone(nil) }
+	c.watchCall()
 	if c.work.Once {
 		return c.runOnce()
 	}
-	call := c.entry.watch.add(c.ctx.Conn(), gone)
-	defer c.entry.watch.remove(call)
 	return c.work.Request, c.attempts()
 }
 
+// watchCall begins to watch the deadline and, unless the request goes on without
+// its caller, the caller's connection.
+func (c *call) watchCall() {
+	var cancel context.CancelCauseFunc
+	c.context, cancel = context.WithCancelCause(context.Background())
+	c.watched = &watchedCall{conn: c.ctx.Conn(), deadline: c.work.Deadline, cancel: cancel}
+	if c.work.Once {
+		c.watched.conn = nil
+	}
+	c.entry.watch.add(c.watched)
+}
+
 func (c *call) checkIdempotency() *reason.Error {
 	if err := checkIdempotencyKey(c.work.Idempotency); err != nil {
 		return badRequest("%v", err)
@@ -233,8 +240,9 @@
 // end gives back what the call took.
 func (c *call) end() {
 	c.tallied(c.refused)
-	if c.cancel != nil {
-		c.cancel()
+	if c.watched != nil {
+		c.entry.watch.remove(c.watched)
+		c.watched.cancel(nil)
 	}
 	rank := c.entry.admission.rank(c.found.rank)
 	rank.free(c.reserved)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -23,7 +23,9 @@
 // dispatched, and its outcome is recorded before the caller sees it. The caller
 // going away does not cancel it, so that a repeat finds the outcome.
 func (c *call) runOnce() (model.RequestID, *reason.Error) {
-	held, earlier, err := c.entry.claims.Claim(c.context, claim.Request{
+	ctx, cancel := context.WithDeadline(c.context, c.work.Deadline)
+	defer cancel()
+	held, earlier, err := c.entry.claims.Claim(ctx, claim.Request{
 		Key:         claim.KeyOf(c.found.team, c.found.route.Name, c.work.Idempotency),
 		Fingerprint: c.fingerprint(),
 		Request:     c.work.Request,
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -11,78 +11,87 @@
 	"github.com/chicorylug/chicorylug/internal/httplink"
 )
 
-const watchPeriod = 50 * time.Millisecond // time between two looks at the callers' connections
+const watchPeriod = 50 * time.Millisecond // time between two looks at the calls in progress
 
-// errCallerGone is the cause of the end of a request whose caller closed the connection.
+// errCallerGone is the cause of the end of a call whose caller closed the connection.
 var errCallerGone = errors.New("the caller closed the connection")
 
-// callerWatch looks at the connections of callers whose requests take longer
-// than one period, and cancels the requests of those that are gone.
-type callerWatch struct {
+// callWatch looks at the calls in progress and cancels those whose deadline has
+// passed or whose caller is gone. One goroutine for all calls costs less than a
+// timer for each; dispatchers keep the deadline exactly.
+type callWatch struct {
 	mu    sync.Mutex
 	calls map[*watchedCall]struct{}
 	done  chan struct{}
 }
 
 type watchedCall struct {
-	conn   net.Conn
-	cancel context.CancelCauseFunc
-	seen   bool // a look has passed since the request came
+	conn     net.Conn // nil when the caller going away does not matter
+	deadline time.Time
+	cancel   context.CancelCauseFunc
+	seen     bool // a look has passed since the call came
 }
 
-func newCallerWatch() *callerWatch {
-	return &callerWatch{calls: map[*watchedCall]struct{}{}, done: make(chan struct{})}
+func newCallWatch() *callWatch {
+	return &callWatch{calls: map[*watchedCall]struct{}{}, done: make(chan struct{})}
 }
 
-func (w *callerWatch) start() { go w.run() }
+func (w *callWatch) start() { go w.run() }
 
-func (w *callerWatch) stop() { close(w.done) }
+func (w *callWatch) stop() { close(w.done) }
 
-// add watches a connection until remove. cancel is called at most once.
-func (w *callerWatch) add(conn net.Conn, cancel context.CancelCauseFunc) *watchedCall {
-	c := &watchedCall{conn: conn, cancel: cancel}
+// add watches a call until remove.
+func (w *callWatch) add(c *watchedCall) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls[c] = struct{}{}
-	return c
 }
 
-func (w *callerWatch) remove(c *watchedCall) {
+// ignoreCaller goes on watching the deadline only.
+func (w *callWatch) ignoreCaller(c *watchedCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.conn = nil
+}
+
+func (w *callWatch) remove(c *watchedCall) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.calls, c)
 }
 
-func (w *callerWatch) run() {
+func (w *callWatch) run() {
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			w.look()
+		case now := <-ticker.C:
+			w.look(now)
 		case <-w.done:
 			return
 		}
 	}
 }
 
-func (w *callerWatch) look() {
-	for _, c := range w.slow() {
-		if httplink.Closed(c.conn) {
+func (w *callWatch) look(now time.Time) {
+	for c, conn := range w.slow() {
+		if now.After(c.deadline) {
+			c.cancel(context.DeadlineExceeded)
+		} else if conn != nil && httplink.Closed(conn) {
 			c.cancel(errCallerGone)
-			w.remove(c)
 		}
 	}
 }
 
-// slow returns the calls that were there at the last look already.
-func (w *callerWatch) slow() []*watchedCall {
+// slow returns the calls that were there at the last look already, with the
+// connections of their callers.
+func (w *callWatch) slow() map[*watchedCall]net.Conn {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var slow []*watchedCall
+	slow := map[*watchedCall]net.Conn{}
 	for c := range w.calls {
 		if c.seen {
-			slow = append(slow, c)
+			slow[c] = c.conn
 		}
 		c.seen = true
 	}
