--- /dev/null
+++ b/internal/ownership/plan_test.go
@@ -0,0 +1,88 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/placement"
+)
+
+const testKey model.Key = "order-17"
+
+// testView has two servers and one dispatcher.
+func testView() View {
+	return View{
+		Now:         time.Unix(1_000_000, 0),
+		Term:        1,
+		Coordinator: Coordinator{Daemon: "d1", Incarnation: "life"},
+		Rules:       PoolRules{Keyed: true, Shards: 8, Slots: 1, Weights: placement.Weights{Imbalance: 1}},
+		Servers:     []ListedServer{{ID: "s1", State: ServerActive, Weight: 1}, {ID: "s2", State: ServerActive, Weight: 1}},
+		Daemons:     []LiveDaemon{{ID: "d1", Incarnation: "life"}},
+		Acks:        map[model.DaemonID]Ack{},
+	}
+}
+
+func firstAssignment(t *testing.T, view View) *Assignment {
+	first, _ := Plan(&Assignment{Pool: "drafts"}, view)
+	must.NotNil(t, first)
+	return first
+}
+
+func TestHotKeyIsSplitOnlyAfterItsShardDrained(t *testing.T) {
+	view := testView()
+	first := firstAssignment(t, view)
+	parent := first.ShardOf(testKey)
+	owner := first.Shards[parent]
+
+	view.Hot = []KeyLoad{{Key: testKey, Shard: parent, Rate: 1000}}
+	began, _ := Plan(first, view)
+	must.Eq(t, parent, began.ShardOf(testKey))
+	must.Eq(t, owner.Server, began.Shards[parent].Next)
+
+	view.Acks["d1"] = Ack{Daemon: "d1", Incarnation: "life", Seq: began.Seq,
+		Unquiet: []ServerShards{{Server: owner.Server, Shards: []model.ShardID{parent}}}}
+	next, _ := Plan(began, view)
+	must.Nil(t, next)
+
+	view.Acks["d1"] = Ack{Daemon: "d1", Incarnation: "life", Seq: began.Seq}
+	split, _ := Plan(began, view)
+	own := split.ShardOf(testKey)
+	must.NotEq(t, parent, own)
+	must.Eq(t, Shard{Server: owner.Server, Epoch: owner.Epoch + 1}, split.Shards[own])
+	must.Eq(t, owner.Epoch+1, split.Shards[parent].Epoch)
+}
+
+func TestDeltaLeadsToTheSameAssignment(t *testing.T) {
+	view := testView()
+	first := firstAssignment(t, view)
+	view.Servers[0].State = ServerLost
+	view.Servers = append(view.Servers, ListedServer{ID: "s3", State: ServerActive, Weight: 1})
+	second, _ := Plan(first, view)
+
+	whole, ok := DeltaOf(nil, second).Apply(first)
+	must.True(t, ok)
+	must.Eq(t, second, whole)
+	applied, ok := DeltaOf(first, second).Apply(first)
+	must.True(t, ok)
+	must.Eq(t, second, applied)
+	_, ok = DeltaOf(first, second).Apply(second)
+	must.False(t, ok)
+	_, ok = DeltaOf(first, second).Apply(nil)
+	must.False(t, ok)
+}
+
+func TestFleetChangeWaitsForMostOfTheOldSet(t *testing.T) {
+	old := Fleet{Version: 1, Members: []model.DaemonID{"d1", "d2", "d3"}}
+	listed := []model.DaemonID{"d3", "d4", "d5"}
+	joint := NextFleet(old, listed, nil)
+	must.Eq(t, old.Members, joint.Previous)
+	must.False(t, joint.Quorum(map[model.DaemonID]bool{"d3": true, "d4": true, "d5": true}))
+	must.True(t, joint.Quorum(map[model.DaemonID]bool{"d2": true, "d3": true, "d4": true}))
+	must.Nil(t, NextFleet(*joint, listed, map[model.DaemonID]bool{"d3": true, "d4": true}))
+	final := NextFleet(*joint, listed, map[model.DaemonID]bool{"d1": true, "d2": true})
+	must.Eq(t, listed, final.Members)
+	must.SliceEmpty(t, final.Previous)
+}
