--- a/scenarios/cmd_entry_test.go
+++ b/scenarios/cmd_entry_test.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -19,6 +22,7 @@
 	commands["refusals"] = cmdRefusals
 	commands["pause"] = cmdPause
 	commands["arrived"] = cmdArrived
+	commands["interrupt"] = cmdInterrupt
 }
 
 // begun is a request that was sent in the background.
@@ -155,3 +159,28 @@
 		ts.Fatalf("%d requests arrived at the servers, want at most %d", arrived, limit)
 	}
 }
+
+// cmdInterrupt sends a daemon SIGTERM and, when it has begun to leave, again. It
+// has to end with exit code 1 and log what it cut off:
+//
+//	interrupt DAEMON
+func cmdInterrupt(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	d := w.daemon(ts, args[0])
+	d.signal(syscall.SIGTERM)
+	await(ts, awaitTimeout, args[0]+" not ready", func() error {
+		if ready(d) == nil {
+			return fmt.Errorf("still ready")
+		}
+		return nil
+	})
+	d.signal(syscall.SIGTERM)
+	<-d.done
+	if code := d.cmd.ProcessState.ExitCode(); code != 1 {
+		ts.Fatalf("daemon %s ended with exit code %d, want 1", d.name, code)
+	}
+	log, err := os.ReadFile(d.log)
+	ts.Check(err)
+	if !strings.Contains(string(log), "were cut off") {
+		ts.Fatalf("daemon %s does not say what it cut off", d.name)
+	}
+}
