--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/poison"
+	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // ServiceName is the dispatcher's name in the kernel.
@@ -36,6 +37,7 @@
 	journal   *journal.Journal
 	board     *observe.Board
 	poison    *poison.Table
+	tally     *tally.Tally
 	log       *zap.Logger
 
 	mu        sync.Mutex // held while servers are replaced
@@ -61,6 +63,7 @@
 	j *journal.Journal,
 	board *observe.Board,
 	suspects *poison.Table,
+	counts *tally.Tally,
 	log *zap.Logger,
 ) *Dispatcher {
 	d := &Dispatcher{
@@ -73,6 +76,7 @@
 		board:     board,
 		log:       log.Named(string(ServiceName)),
 		poison:    suspects,
+		tally:     counts,
 		callers:   newCallers(),
 		newcomers: newNewcomers(),
 		watchDone: make(chan struct{}),
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -16,6 +16,7 @@
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/tally"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -50,6 +51,7 @@
 	endAttempt context.CancelFunc
 	freeOnce   sync.Once
 	streams    bool // the answer's body is read after the handler returned
+	counted    func(refused bool)
 }
 
 // run takes the request from its arrival to the begin of its answer.
@@ -143,6 +145,7 @@
 		return refusal
 	}
 	r.server.add(r)
+	r.counted = r.dispatcher.tally.Begin(tally.Subject{Pool: r.work.Server.Pool, Server: r.work.Server.Server})
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	r.prepare(out)
@@ -224,6 +227,7 @@
 		if r.ticket != nil {
 			r.ticket.Done()
 			r.endAttempt()
+			r.counted(service == 0)
 		}
 		r.server.queue.Release(&r.waiter, service)
 	})
