--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -19,8 +19,17 @@
 )
 
 // attempts sends the request until it is answered, may not be sent again, or
-// its deadline has passed.
+// its deadline has passed. A request that may have run in any attempt is not
+// told to be not run.
 func (c *call) attempts() *reason.Error {
+	refusal := c.attemptsUntilFinal()
+	if refusal != nil && c.mayHaveRun && refusal.Outcome == reason.NotRun {
+		refusal.Outcome = reason.Unknown
+	}
+	return refusal
+}
+
+func (c *call) attemptsUntilFinal() *reason.Error {
 	budget := c.entry.budgets.Of(c.found.route.Pool, c.found.route.Rank, c.found.pool.RetryPercent)
 	budget.First()
 	var backoff retry.Backoff
@@ -31,6 +40,7 @@
 			return nil
 		}
 		c.work.Death = refusal.Death
+		c.mayHaveRun = c.mayHaveRun || refusal.Outcome != reason.NotRun
 		kind := c.retryKind(refusal)
 		if kind == retryNever {
 			return refusal
@@ -68,9 +78,9 @@
 	}
 	switch refusal.Code {
 	case reason.WrongEpoch, reason.ShardMoving, reason.NotDispatcher, reason.PermitExpired,
-		reason.NoOwner, reason.ServerUnreachable, reason.ShuttingDown, reason.NotReady:
+		reason.NoOwner, reason.ServerUnreachable, reason.ServerDraining, reason.ShuttingDown, reason.NotReady:
 		return c.ifNotRun(refusal, retryFree)
-	case reason.ServerShed, reason.ServerDraining, reason.ServerRefusedGrant:
+	case reason.ServerShed, reason.ServerRefusedGrant:
 		return c.ifNotRun(refusal, retryAddsLoad)
 	case reason.DispatcherLost:
 		if refusal.Outcome == reason.NotRun {
@@ -141,12 +151,22 @@
 	load.outstanding.Add(1)
 	defer load.outstanding.Add(-1)
 	refusal = c.forward(dispatcher)
-	if refusal != nil && (refusal.Code == reason.ServerUnreachable || refusal.Code == reason.DispatcherLost || refusal.Code == reason.ServerLost) {
+	if refusal != nil && cannotServe(refusal.Code) {
 		load.avoid(time.Now())
 	}
 	return refusal
 }
 
+// cannotServe reports that another server is the better choice for a while.
+func cannotServe(code reason.Code) bool {
+	switch code {
+	case reason.ServerUnreachable, reason.ServerLost, reason.ServerDraining, reason.DispatcherLost:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkContext refuses when the caller is gone or the deadline has passed.
 func (c *call) checkContext() *reason.Error {
 	if c.context.Err() == nil {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -28,7 +28,9 @@
 	// context ends at the deadline, and early when the caller is gone.
 	context context.Context
 	cancel  context.CancelFunc
-	streams bool // the answer's body is read after the handler returned
+	// mayHaveRun says that an attempt reached a server or may have.
+	mayHaveRun bool
+	streams    bool // the answer's body is read after the handler returned
 }
 
 // handle serves one request of a caller.
--- a/scenarios/cmd_dispatch_test.go
+++ b/scenarios/cmd_dispatch_test.go
@@ -150,17 +150,22 @@
 	var o spanOptions
 	_, from, to := o.parse(w, ts, args)
 	all, own := 0, 0
+	byServer := map[model.ServerID]map[model.Rank]int{}
 	for _, run := range w.runs(ts) {
 		if run.Start.Before(from) || run.Start.After(to) {
 			continue
 		}
+		if byServer[run.Server] == nil {
+			byServer[run.Server] = map[model.Rank]int{}
+		}
+		byServer[run.Server][run.Rank]++
 		all++
 		if string(run.Rank) == o.Rank {
 			own++
 		}
 	}
 	if all < o.Least || own*100 < all*o.Percent {
-		ts.Fatalf("rank %s had %d of %d runs, want %d%% of at least %d", o.Rank, own, all, o.Percent, o.Least)
+		ts.Fatalf("rank %s had %d of %d runs, want %d%% of at least %d; runs by server: %v", o.Rank, own, all, o.Percent, o.Least, byServer)
 	}
 }
 
