--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -23,6 +23,26 @@
 type crashWatch struct {
 	mu      sync.Mutex
 	current *finding
+	// death is the one that was found last, at the time found.
+	death poison.DeathID
+	found time.Time
+}
+
+// before returns the last death when it was found after the given time: a
+// request that began before ran under that death.
+func (c *crashWatch) before(began time.Time) poison.DeathID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if began.Before(c.found) {
+		return c.death
+	}
+	return ""
+}
+
+func (c *crashWatch) note(death poison.DeathID, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.death, c.found = death, now
 }
 
 // finding is whether a server's process ended under its requests.
@@ -32,8 +52,11 @@
 }
 
 // crashed finds out whether the server's process ended, and returns the death
-// under which the request ran, or "".
-func (d *Dispatcher) crashed(s *server) poison.DeathID {
+// under which a request ran that began at the given time, or "".
+func (d *Dispatcher) crashed(s *server, began time.Time) poison.DeathID {
+	if death := s.crash.before(began); death != "" {
+		return death
+	}
 	f, first := s.crash.join()
 	if first {
 		f.death = d.find(s)
@@ -69,6 +92,7 @@
 	}
 	d.unanswered(s, &httplink.Failure{Stage: httplink.StageDial, Peer: s.address, Err: err})
 	death := d.poison.Report(s.ref, running, time.Now())
+	s.crash.note(death, time.Now())
 	d.journal.Add(journal.Event{
 		Kind:    journal.RequestSuspected,
 		Pool:    s.ref.Pool,
