dispatcher: hold requests back while an earlier dispatcher finishes

Change: no slots while the assignment lists a retiring dispatcher, for at most 300 ms; the state of a server is kept until nothing runs there.

--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -54,7 +54,7 @@
 		}
 		s.configure(snapshot.Settings, permit.Slots)
 		s.limit.setMax(permit.Slots)
-		s.queue.SetSlots(s.limit.slots(now))
+		s.queue.SetSlots(d.slotsOf(s, now))
 		if report, due := s.load.report(s.ref, now); due {
 			d.board.SetLoad(report)
 		}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,10 +18,15 @@
 // Connections to a server besides those that carry requests.
 const probeConnections = 2 // one for probes, one to ask whether the process is gone
 
+// handoverWait bounds the time for which a new dispatcher holds its requests
+// back until the earlier one has none at the server.
+const handoverWait = 300 * time.Millisecond
+
 // server is what the dispatcher keeps of one backend server.
 type server struct {
 	ref     model.ServerRef
 	address string
+	since   time.Time // begin of the permission
 	config  atomic.Pointer[serverConfig]
 	queue   *Queue
 	limit   *slotLimit
@@ -68,6 +74,7 @@
 		s.close()
 	}
 	s := newServer(permit, compiled, d.network.Dial, time.Now())
+	s.queue.SetSlots(d.slotsOf(s, s.since))
 	if since, isNew := d.newcomers.since(permit.Server); isNew {
 		s.limit.slowStart(since, slowStart(s.config.Load().pool))
 	}
@@ -81,6 +88,7 @@
 	s := &server{
 		ref:     permit.Server,
 		address: permit.Address,
+		since:   now,
 		queue:   NewQueue(permit.Server.String(), queueSettings(permit.Slots, pool, compiled)),
 		limit:   newSlotLimit(permit.Slots, now),
 		links:   httplink.NewPool(permit.Address, linksTo(pool), dial),
@@ -123,8 +131,29 @@
 	s.probes.Close()
 }
 
-// dropServers forgets the servers for which no permit is held. Requests in
-// progress keep the state that they began with.
+// slotsOf returns the slots that a server can take now from this dispatcher.
+func (d *Dispatcher) slotsOf(s *server, now time.Time) int {
+	if now.Sub(s.since) < handoverWait && d.handedOver(s.ref) {
+		return 0
+	}
+	return s.limit.slots(now)
+}
+
+// handedOver reports that an earlier dispatcher of a server may still have
+// requests there.
+func (d *Dispatcher) handedOver(ref model.ServerRef) bool {
+	assignment := d.directory.Load().Pools[ref.Pool]
+	if assignment == nil {
+		return false
+	}
+	described := assignment.Server(ref.Server)
+	return described != nil && slices.ContainsFunc(described.Dispatchers, func(other ownership.Dispatcher) bool {
+		return other.State == ownership.DispatcherRetiring
+	})
+}
+
+// dropServers forgets the servers for which no permit is held and at which
+// nothing runs.
 func (d *Dispatcher) dropServers(permits []*ownership.Permit) {
 	held := make(map[model.ServerRef]string, len(permits))
 	for _, permit := range permits {
@@ -135,7 +164,7 @@
 	before := *d.servers.Load()
 	kept := make(map[model.ServerRef]*server, len(before))
 	for ref, s := range before {
-		if address, ok := held[ref]; ok && address == s.address {
+		if address, ok := held[ref]; (ok && address == s.address) || !s.idle() {
 			kept[ref] = s
 			continue
 		}
@@ -147,6 +176,12 @@
 	}
 }
 
+func (s *server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running) == 0
+}
+
 // add notes a request that is about to be sent.
 func (s *server) add(r *request) {
 	s.mu.Lock()
