dispatcher: leave the counting by server to the registry's tally

Conclusion: dispatcher, fleet and entry tests and the seven request and path scenarios run here pass.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,7 +21,6 @@
 	"github.com/chicorylug/chicorylug/internal/observe"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/poison"
-	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 // ServiceName is the dispatcher's name in the kernel.
@@ -37,7 +36,6 @@
 	journal   *journal.Journal
 	board     *observe.Board
 	poison    *poison.Table
-	tally     *tally.Tally
 	log       *zap.Logger
 
 	mu        sync.Mutex // held while servers are replaced
@@ -64,7 +62,6 @@
 	j *journal.Journal,
 	board *observe.Board,
 	suspects *poison.Table,
-	counts *tally.Tally,
 	log *zap.Logger,
 ) *Dispatcher {
 	d := &Dispatcher{
@@ -77,7 +74,6 @@
 		board:     board,
 		log:       log.Named(string(ServiceName)),
 		poison:    suspects,
-		tally:     counts,
 		callers:   newCallers(),
 		newcomers: newNewcomers(),
 		watchDone: make(chan struct{}),
--- a/internal/dispatcher/probe_test.go
+++ b/internal/dispatcher/probe_test.go
@@ -22,7 +22,6 @@
 	"github.com/chicorylug/chicorylug/internal/settings"
 	"github.com/chicorylug/chicorylug/internal/spread"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
-	"github.com/chicorylug/chicorylug/internal/tally"
 )
 
 const testPool model.PoolName = "drafts"
@@ -63,7 +62,7 @@
 	conf := &config.Config{Name: "d1", DispatchAddress: "127.0.0.1:0"}
 	network, registry := &netx.Network{}, metrics.New()
 	peers := spread.New(rpc.NewServer(registry), rpc.NewClient(network, registry), zap.NewNop())
-	b.dispatcher = New(conf, network, b.gate, dir, registry, journal.New("d1"), board, poison.NewTable(peers), tally.New(), zap.NewNop())
+	b.dispatcher = New(conf, network, b.gate, dir, registry, journal.New("d1"), board, poison.NewTable(peers), zap.NewNop())
 	must.NoError(t, b.dispatcher.Start(context.Background()))
 	t.Cleanup(func() { _ = b.dispatcher.Stop(context.Background()) })
 	return b
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -16,7 +16,6 @@
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/reason"
-	"github.com/chicorylug/chicorylug/internal/tally"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -53,7 +52,6 @@
 	tallied    func(refused bool) // counts the end of the request
 	refused    bool
 	streams    bool // the answer's body is read after the handler returned
-	counted    func(refused bool)
 }
 
 // run takes the request from its arrival to the begin of its answer.
@@ -147,7 +145,6 @@
 		return refusal
 	}
 	r.server.add(r)
-	r.counted = r.dispatcher.tally.Begin(tally.Subject{Pool: r.work.Server.Pool, Server: r.work.Server.Server})
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	r.prepare(out)
@@ -232,7 +229,6 @@
 		if r.ticket != nil {
 			r.ticket.Done()
 			r.endAttempt()
-			r.counted(service == 0)
 		}
 		r.server.queue.Release(&r.waiter, service)
 	})
