--- a/scenarios/cmd_dispatch_test.go
+++ b/scenarios/cmd_dispatch_test.go
@@ -21,6 +21,7 @@
 	commands["share"] = cmdShare
 	commands["ranmost"] = cmdRanMost
 	commands["newwork"] = cmdNewWork
+	commands["worked"] = cmdWorked
 }
 
 // marks are moments of a scenario, by name.
@@ -214,3 +215,20 @@
 	}
 	return own, others
 }
+
+// cmdWorked asserts that each of the servers ran something after a mark:
+//
+//	worked --from MARK SERVER...
+func cmdWorked(w *world, ts *testscript.TestScript, _ bool, args []string) {
+	var o spanOptions
+	servers, from, _ := o.parse(w, ts, args)
+	worked := map[model.ServerID]bool{}
+	for _, run := range w.runs(ts) {
+		worked[run.Server] = worked[run.Server] || run.Start.After(from)
+	}
+	for _, server := range servers {
+		if !worked[model.ServerID(server)] {
+			ts.Fatalf("server %s ran nothing", server)
+		}
+	}
+}
