--- a/internal/experiment/control.go
+++ b/internal/experiment/control.go
@@ -37,6 +37,7 @@
 	processor float64 // percent of a core per daemon
 	memory    float64 // MB per daemon
 	bytes     float64 // control bytes a second per daemon, in and out
+	busiest   float64 // the same of the busiest daemon
 	messages  float64 // control messages a second per daemon, in and out
 	reads     float64 // store reads a second of the fleet, the instance list included
 	writes    float64 // store writes a second of the fleet
@@ -86,7 +87,7 @@
 // runControl measures what control costs a daemon as the fleet grows, without requests.
 func runControl(ctx context.Context, o Options, r *Report) error {
 	points := r.table("Control without requests", "daemons", "servers", "shards", "changes/s",
-		"CPU % of a core/daemon", "MB/daemon", "bytes/s/daemon", "messages/s/daemon", "store reads/s fleet", "store writes/s fleet")
+		"CPU % of a core/daemon", "MB/daemon", "bytes/s/daemon", "bytes/s busiest", "messages/s/daemon", "store reads/s fleet", "store writes/s fleet")
 	slopes := r.table("Fitted slopes", "per", "quantity", "at zero", "slope", "R2")
 	known := map[controlSize]controlCost{}
 	for _, s := range controlSweeps(o.daemons(controlDaemons)) {
@@ -102,7 +103,7 @@
 				}
 				known[size] = cost
 				points.add(size.daemons, size.servers, size.shards, size.changes,
-					cost.processor, cost.memory, cost.bytes, cost.messages, cost.reads, cost.writes)
+					cost.processor, cost.memory, cost.bytes, cost.busiest, cost.messages, cost.reads, cost.writes)
 			}
 			x = append(x, s.value(size))
 			costs = append(costs, cost)
@@ -121,6 +122,7 @@
 		{"CPU % of a core/daemon", func(c controlCost) float64 { return c.processor }},
 		{"MB/daemon", func(c controlCost) float64 { return c.memory }},
 		{"bytes/s/daemon", func(c controlCost) float64 { return c.bytes }},
+		{"bytes/s busiest daemon", func(c controlCost) float64 { return c.busiest }},
 		{"messages/s/daemon", func(c controlCost) float64 { return c.messages }},
 		{"store reads/s fleet", func(c controlCost) float64 { return c.reads }},
 		{"store writes/s fleet", func(c controlCost) float64 { return c.writes }},
@@ -169,7 +171,7 @@
 }
 
 func observeControl(ctx context.Context, f *fleet.Fleet, d *deployment, size controlSize, duration time.Duration) (controlCost, error) {
-	bytes, messages := controlTraffic(f)
+	traffic := controlTraffic(f)
 	counts, processor, start := f.Platform.Counts(), processorTime(), time.Now()
 	if err := changeAtRate(ctx, f, d, size.changes, duration); err != nil {
 		return controlCost{}, err
@@ -178,25 +180,38 @@
 	daemons := float64(size.daemons)
 	after := f.Platform.Counts()
 	used := (processorTime() - processor).Seconds()
-	bytesAfter, messagesAfter := controlTraffic(f)
+	bytes, busiest, messages := 0.0, 0.0, 0.0
+	for i, now := range controlTraffic(f) {
+		moved := float64(now.bytes - traffic[i].bytes)
+		bytes += moved
+		busiest = max(busiest, moved)
+		messages += float64(now.messages - traffic[i].messages)
+	}
 	return controlCost{
 		processor: 100 * used / seconds / daemons,
-		bytes:     (bytesAfter - bytes) / seconds / daemons,
-		messages:  (messagesAfter - messages) / seconds / daemons,
+		bytes:     bytes / seconds / daemons,
+		busiest:   busiest / seconds,
+		messages:  messages / seconds / daemons,
 		reads:     float64(after.Reads+after.ListReads-counts.Reads-counts.ListReads) / seconds,
 		writes:    float64(after.Writes-counts.Writes) / seconds,
 	}, nil
 }
 
-// controlTraffic sums the bytes and messages that all daemons counted.
-func controlTraffic(f *fleet.Fleet) (bytes, messages float64) {
-	for _, node := range f.Nodes {
+// daemonTraffic is what one daemon counted of its control traffic, in and out.
+type daemonTraffic struct {
+	bytes, messages int64
+}
+
+// controlTraffic returns what each daemon counted.
+func controlTraffic(f *fleet.Fleet) []daemonTraffic {
+	traffic := make([]daemonTraffic, len(f.Nodes))
+	for i, node := range f.Nodes {
 		_ = node.Daemon.Invoke(func(m *metrics.Registry) {
-			bytes += float64(m.Int("control_bytes_in").Value() + m.Int("control_bytes_out").Value())
-			messages += float64(m.Int("control_messages_in").Value() + m.Int("control_messages_out").Value())
+			traffic[i].bytes = m.Int("control_bytes_in").Value() + m.Int("control_bytes_out").Value()
+			traffic[i].messages = m.Int("control_messages_in").Value() + m.Int("control_messages_out").Value()
 		})
 	}
-	return bytes, messages
+	return traffic
 }
 
 // changeAtRate accepts settings changes at a rate for a time.
