--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -37,6 +37,10 @@
 		defer a.end()
 		return a.refusal()
 	}
+	if string(a.received.Header.Peek(wire.HeaderRequestID)) != string(a.call.work.Request) {
+		defer a.end()
+		return reason.NewUnknown(reason.DispatcherLost, "answer", a.peer, "the answer is not for this request")
+	}
 	a.body = newVerified(a.exchange, int64(a.exchange.Length()), maxAnswerBytes, a.stated())
 	a.rest = a.body
 	if a.exchange.Length() > a.holdLimit() || !a.holdable() {
@@ -104,6 +108,7 @@
 // stream passes the answer on while it arrives. The call ends with the stream.
 func (a *answer) stream() {
 	a.call.streams = true
+	a.call.entry.watch.ignoreCaller(a.call.watched)
 	a.call.trace("answered", "streamed")
 	copyAnswer(&a.received.Header, &a.call.ctx.Response.Header)
 	_ = a.call.ctx.SetWriteDeadline(a.call.work.Deadline)
