entry: leave a dispatcher that does not answer

Ruled out: the change itself (silent after 400 ms) and the retry rules. Change: while requests wait and nothing was heard for 250 ms, the entry asks the dispatcher; after two unanswered questions (250 ms each) repeatable attempts end and are sent again, and new ones are refused as not run until it answers. At-most-once requests keep waiting: their answer may still come. A refused connection is no silence, so a dispatcher that shuts down keeps its requests. Conclusion: the wait is bounded by about 0.85 s plus the change of dispatcher.

--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -14,9 +14,13 @@
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
-// handle serves one request of an entry.
+// handle serves one request of an entry, or answers its question whether the
+// daemon lives.
 func (d *Dispatcher) handle(ctx *fasthttp.RequestCtx) {
 	work, err := wire.ReadWork(&ctx.Request.Header)
+	if err != nil && string(ctx.Path()) == wire.PathHealth {
+		return
+	}
 	if err != nil {
 		d.refuse(ctx, reason.New(reason.BadRequest, "dispatch", ctx.RemoteAddr().String(), "%v", err))
 		return
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -191,6 +191,10 @@
 
 // forward sends the request to a dispatcher and passes its answer on.
 func (c *call) forward(dispatcher *ownership.Dispatcher) *reason.Error {
+	watched := c.entry.peers.of(dispatcher.Dispatch)
+	if watched.silent.Load() {
+		return reason.New(reason.DispatcherLost, "forward", string(dispatcher.Daemon), "%v", errSilent)
+	}
 	forwarded := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(forwarded)
 	c.ctx.Request.Header.CopyTo(&forwarded.Header)
@@ -199,7 +203,9 @@
 	c.upload.attach(forwarded)
 	received := fasthttp.AcquireResponse()
 	link := c.entry.links.to(dispatcher.Dispatch, c.work.Rank)
-	exchange, failure := link.Do(c.context, forwarded, received)
+	attempt, waiting := watched.begin(c.context, !c.work.Once)
+	exchange, failure := link.Do(attempt, forwarded, received)
+	waiting.end(failure == nil)
 	if failure != nil {
 		fasthttp.ReleaseResponse(received)
 		return c.forwardFailure(dispatcher, failure)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 
 	routes    routeTable
 	links     *links
+	peers     *peers
 	servers   *serverLoads
 	budgets   *retry.Budgets
 	admission admission
@@ -76,6 +77,7 @@
 		claims:    claims,
 		log:       log.Named(string(ServiceName)),
 		links:     newLinks(network.Dial),
+		peers:     newPeers(network.Dial),
 		servers:   newServerLoads(),
 		budgets:   retry.NewBudgets(),
 		watch:     newCallWatch(),
@@ -112,6 +114,7 @@
 	}
 	e.metrics.Func("entry_in_progress", func() any { return e.admission.inProgress() })
 	e.watch.start()
+	e.peers.start()
 	go func() { _ = e.http.Serve(listener) }()
 	return nil
 }
@@ -175,6 +178,7 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.http.ShutdownWithContext(ctx)
 	e.watch.stop()
+	e.peers.stop()
 	e.links.close()
 	return errors.Wrap(err, "close the caller address")
 }
