--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,11 +64,10 @@
 	// reported is when a renewal last carried loads and unchanged health.
 	reported map[model.PoolName]time.Time
 
-	evidence evidenceBoard
-	busy     sync.Map // pools with a renewal under way
-	wake     chan struct{}
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	evidence   evidenceBoard
+	busy       sync.Map // pools with a renewal under way
+	wake       chan struct{}
+	background kernel.Background
 }
 
 type counters struct {
@@ -138,18 +137,14 @@
 
 // Start implements kernel.Service.
 func (a *Agent) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	a.done.Add(2)
-	go a.renewLoop(ctx)
-	go a.attestLoop(ctx)
+	a.background.Go(a.renewLoop)
+	a.background.Go(a.attestLoop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (a *Agent) Stop(context.Context) error {
-	a.cancel()
-	a.done.Wait()
+	a.background.Stop()
 	return nil
 }
 
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -15,7 +15,6 @@
 
 // renewLoop renews the permits of all pools in which this daemon dispatches.
 func (a *Agent) renewLoop(ctx context.Context) {
-	defer a.done.Done()
 	for {
 		pause := renewPeriod
 		for _, pool := range a.pools(ctx) {
@@ -154,7 +153,6 @@
 
 // attestLoop asks the fleet for the pools whose coordinator does not answer.
 func (a *Agent) attestLoop(ctx context.Context) {
-	defer a.done.Done()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/attest/attest.go
+++ b/internal/attest/attest.go
@@ -70,8 +70,7 @@
 	mu      sync.Mutex
 	witness *ownership.Witness
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	background kernel.Background
 }
 
 // New returns a service that is not yet started.
@@ -133,18 +132,14 @@
 
 // Start implements kernel.Service.
 func (a *Attest) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	a.done.Add(2)
-	go a.inform(ctx)
-	go a.keepFleet(ctx)
+	a.background.Go(a.inform)
+	a.background.Go(a.keepFleet)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (a *Attest) Stop(context.Context) error {
-	a.cancel()
-	a.done.Wait()
+	a.background.Stop()
 	return nil
 }
 
@@ -258,7 +253,6 @@
 
 // inform tries to become informed: from the table, or else from the peers.
 func (a *Attest) inform(ctx context.Context) {
-	defer a.done.Done()
 	for !a.informed() {
 		if err := a.readTable(ctx); err != nil {
 			a.log.Debug("assignments not read", zap.String("step", "inform"), zap.String("peer", "platform"), zap.Error(err))
--- a/internal/attest/fleet.go
+++ b/internal/attest/fleet.go
@@ -67,7 +67,6 @@
 // keepFleet writes the fleet row when the listed daemons changed. One daemon,
 // the first by score, does it; a second one at the same time meets a conflict.
 func (a *Attest) keepFleet(ctx context.Context) {
-	defer a.done.Done()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,10 +30,9 @@
 // lists the claims of one random prefix; while a listing is full, a longer
 // prefix is listed.
 type Sweeper struct {
-	store     *Store
-	directory *directory.Directory
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	store      *Store
+	directory  *directory.Directory
+	background kernel.Background
 }
 
 // NewSweeper returns a sweeper that is not yet started.
@@ -53,22 +51,17 @@
 
 // Start implements kernel.Service.
 func (s *Sweeper) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go s.run(ctx)
+	s.background.Go(s.run)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Sweeper) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
+	s.background.Stop()
 	return nil
 }
 
 func (s *Sweeper) run(ctx context.Context) {
-	defer s.done.Done()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/coordinator/candidate.go
+++ b/internal/coordinator/candidate.go
@@ -64,7 +64,6 @@
 }
 
 func (cand *candidate) run(ctx context.Context) {
-	defer cand.c.done.Done()
 	for {
 		pause := cand.step(ctx)
 		select {
@@ -225,8 +224,7 @@
 	_ = cand.c.loop.Call(ctx, func() { cand.controller = ctl })
 	cand.c.counters.leases(1)
 	cand.c.journal.Add(journal.Event{Kind: journal.LeaseTaken, Pool: cand.pool, Cause: takeCause(earlier), Term: next.Term})
-	cand.c.done.Add(1)
-	go ctl.run(ctx)
+	cand.c.background.Go(ctl.run)
 	return ownership.LeasePeriod
 }
 
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -120,7 +120,6 @@
 }
 
 func (ctl *controller) run(ctx context.Context) {
-	defer ctl.c.done.Done()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ctl.lease.mu.Lock()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,8 +47,7 @@
 	candidates map[model.PoolName]*candidate
 	leaving    bool
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	background kernel.Background
 }
 
 type counters struct {
@@ -114,10 +112,7 @@
 
 // Start implements kernel.Service.
 func (c *Coordinator) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	c.done.Add(1)
-	go c.followPools(ctx)
+	c.background.Go(c.followPools)
 	return nil
 }
 
@@ -126,14 +121,12 @@
 
 // Stop implements kernel.Service.
 func (c *Coordinator) Stop(context.Context) error {
-	c.cancel()
-	c.done.Wait()
+	c.background.Stop()
 	return nil
 }
 
 // followPools runs a candidate for each pool of the settings.
 func (c *Coordinator) followPools(ctx context.Context) {
-	defer c.done.Done()
 	for {
 		_ = c.loop.Call(ctx, func() { c.syncCandidates(ctx) })
 		select {
@@ -156,8 +149,7 @@
 		}
 		cand := newCandidate(c, name)
 		c.candidates[name] = cand
-		c.done.Add(1)
-		go cand.run(ctx)
+		c.background.Go(cand.run)
 	}
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -76,8 +76,7 @@
 	unlisted map[model.DaemonID]time.Time
 	records  uint64
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	background kernel.Background
 }
 
 // New returns a member service that is not yet started.
@@ -122,18 +121,14 @@
 
 // Start implements kernel.Service.
 func (m *Member) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
 	m.announce(false)
-	m.done.Add(1)
-	go m.run(ctx)
+	m.background.Go(m.run)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (m *Member) Stop(context.Context) error {
-	m.cancel()
-	m.done.Wait()
+	m.background.Stop()
 	return nil
 }
 
@@ -186,7 +181,6 @@
 }
 
 func (m *Member) run(ctx context.Context) {
-	defer m.done.Done()
 	for {
 		if m.reader() {
 			m.read(ctx)
--- a/internal/settingstore/settingstore.go
+++ b/internal/settingstore/settingstore.go
@@ -68,8 +68,7 @@
 	started bool // the first version was found; until then spread items wait
 	state   InForce
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	background kernel.Background
 }
 
 // New returns a store that is not yet started.
@@ -121,17 +120,13 @@
 
 // Start implements kernel.Service.
 func (s *Store) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go s.run(ctx)
+	s.background.Go(s.run)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Store) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
+	s.background.Stop()
 	return nil
 }
 
@@ -148,7 +143,6 @@
 }
 
 func (s *Store) run(ctx context.Context) {
-	defer s.done.Done()
 	if !s.findFirst(ctx) {
 		return
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -65,9 +65,8 @@
 	topics map[TopicName]Topic
 	peers  Peers
 
-	changed chan TopicName
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	changed    chan TopicName
+	background kernel.Background
 }
 
 const changeQueue = 256 // changes waiting to be pushed
@@ -119,23 +118,18 @@
 
 // Start implements kernel.Service.
 func (s *Spread) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(2)
-	go s.compareLoop(ctx)
-	go s.pushLoop(ctx)
+	s.background.Go(s.compareLoop)
+	s.background.Go(s.pushLoop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Spread) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
+	s.background.Stop()
 	return nil
 }
 
 func (s *Spread) compareLoop(ctx context.Context) {
-	defer s.done.Done()
 	for {
 		pause := comparePeriod/2 + rand.N(comparePeriod)
 		select {
@@ -270,7 +264,6 @@
 
 // pushLoop sends the items that changed since the last push to a few peers.
 func (s *Spread) pushLoop(ctx context.Context) {
-	defer s.done.Done()
 	pushed := map[TopicName][]ItemVersion{}
 	for {
 		select {
--- /dev/null
+++ b/internal/standin/backend/faults.go
@@ -0,0 +1,103 @@
+package backend
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/wire"
+)
+
+// Faults are switched on by tests. The zero value is a healthy server.
+type Faults struct {
+	// Frozen holds every request, health checks included, until it is cleared.
+	Frozen bool `json:"frozen"`
+	// Draining announces that the server is leaving.
+	Draining bool `json:"draining"`
+	// ShedAll answers every request as shed and not run.
+	ShedAll bool `json:"shed_all"`
+	// ReportedLoad replaces the true load report when not empty ("in-use/slots").
+	ReportedLoad string `json:"reported_load"`
+	// SickHealth fails health checks although requests are served.
+	SickHealth bool `json:"sick_health"`
+	// CrashMarker stops the server when a path, key or body contains it.
+	CrashMarker string `json:"crash_marker"`
+	// IgnoreDeadline runs requests whose deadline has passed.
+	IgnoreDeadline bool `json:"ignore_deadline"`
+	// CutAfterBytes closes the connection after that many bytes of a response body.
+	CutAfterBytes int `json:"cut_after_bytes"`
+	// ServiceMS replaces the service time when positive.
+	ServiceMS float64 `json:"service_ms"`
+	// ColdMS adds to the service time of the first ColdRequests requests.
+	ColdMS       float64 `json:"cold_ms"`
+	ColdRequests int     `json:"cold_requests"`
+}
+
+// SetFaults replaces the faults and wakes frozen requests.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.thawed.Broadcast()
+}
+
+func (s *Server) crashes(ctx *fasthttp.RequestCtx) bool {
+	s.mu.Lock()
+	marker := s.faults.CrashMarker
+	s.mu.Unlock()
+	if marker == "" {
+		return false
+	}
+	return strings.Contains(string(ctx.RequestURI()), marker) || bytes.Contains(ctx.PostBody(), []byte(marker))
+}
+
+func deadlineOf(ctx *fasthttp.RequestCtx) time.Time {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(wire.HeaderDeadline)), 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// refusal returns why the request is not run, or "".
+func (s *Server) refusal(run *Run, deadline time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.ShedAll:
+		return "shed: by fault"
+	case !s.faults.IgnoreDeadline && !deadline.IsZero() && time.Now().After(deadline):
+		return "deadline passed"
+	case s.options.ChecksGrants && !s.granted(run):
+		return "grant refused"
+	default:
+		return ""
+	}
+}
+
+// serviceTime runs under the lock.
+func (s *Server) serviceTime() time.Duration {
+	ms := s.options.ServiceMS
+	if s.faults.ServiceMS > 0 {
+		ms = s.faults.ServiceMS
+	}
+	if len(s.runs) <= s.faults.ColdRequests {
+		ms += s.faults.ColdMS
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// cutAnswer sends the header and a part of the body, then closes the connection.
+func (s *Server) cutAnswer(ctx *fasthttp.RequestCtx, body []byte, cut int) {
+	ctx.HijackSetNoResponse(true)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+	ctx.Hijack(func(conn net.Conn) {
+		_, _ = conn.Write(append([]byte(head), body[:cut]...))
+		_ = conn.Close()
+	})
+}
--- a/internal/standin/backend/work.go
+++ b/internal/standin/backend/work.go
@@ -2,8 +2,9 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
+
+	"github.com/chicorylug/chicorylug/internal/httplink"
 )
 
 // Reasons for which a run ends early.
@@ -31,7 +32,7 @@
 		if left <= cancelCheck {
 			return ""
 		}
-		if closedByPeer(conn) {
+		if httplink.Closed(conn) {
 			return stoppedCancelled
 		}
 	}
@@ -42,22 +43,3 @@
 	defer s.mu.Unlock()
 	return !s.faults.IgnoreDeadline && !deadline.IsZero() && time.Now().After(deadline)
 }
-
-func closedByPeer(conn net.Conn) bool {
-	sys, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		count, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = errno != syscall.EAGAIN && (errno != nil || count == 0)
-		return true
-	})
-	return err != nil || closed
-}
