--- a/internal/cli/completion.go
+++ b/internal/cli/completion.go
@@ -6,14 +6,14 @@
 	"github.com/pkg/errors"
 )
 
-// Completion scripts. The tool completes its own arguments when
+// Completion scripts for both programs. Each completes its own arguments when
 // GO_FLAGS_COMPLETION is set.
 const (
 	bashCompletion = `_chicorylug() {
   local IFS=$'\n'
   COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
 }
-complete -o default -F _chicorylug chicorylug
+complete -o default -F _chicorylug chicorylug chicorylugd
 `
 	zshCompletion = `autoload -U +X bashcompinit && bashcompinit
 ` + bashCompletion
@@ -23,6 +23,7 @@
   $words[1] $words[2..-1]
 end
 complete -c chicorylug -f -a '(__chicorylug)'
+complete -c chicorylugd -a '(__chicorylug)'
 `
 )
 
