Mend two races that the race detector showed

Cause: (1) scenarios run in parallel and kept downloads, marks and begun requests in process-wide maps without a lock: a write at one time can end the test run. (2) agent.Active read its count while the function that it no longer waited for could still write it. Both by go test -race ./scenarios with GORACE log_path. Change: the maps belong to each scenario's world; the count travels by a channel.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -187,13 +187,19 @@
 
 // Active returns the number of servers to which this daemon dispatches.
 func (a *Agent) Active(ctx context.Context) (int, error) {
-	count := 0
+	// The function may run after ctx ended, when nobody waits for it any more.
+	counted := make(chan int, 1)
 	err := a.loop.Call(ctx, func() {
+		count := 0
 		for _, holder := range a.holders {
 			count += len(holder.Permits())
 		}
+		counted <- count
 	})
-	return count, err
+	if err != nil {
+		return 0, err
+	}
+	return <-counted, nil
 }
 
 // Misses reports that this daemon dispatches in the pool and has not heard its
--- a/scenarios/cmd_dispatch_test.go
+++ b/scenarios/cmd_dispatch_test.go
@@ -24,25 +24,19 @@
 	commands["worked"] = cmdWorked
 }
 
-// marks are moments of a scenario, by name.
-var marks = map[*world]map[string]time.Time{}
-
 // cmdMark notes this moment:
 //
 //	mark NAME
 func cmdMark(w *world, ts *testscript.TestScript, _ bool, args []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if marks[w] == nil {
-		marks[w] = map[string]time.Time{}
-	}
-	marks[w][args[0]] = time.Now()
+	w.marks[args[0]] = time.Now()
 }
 
 func (w *world) marked(ts *testscript.TestScript, name string) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at, ok := marks[w][name]
+	at, ok := w.marks[name]
 	if !ok {
 		ts.Fatalf("no mark %s", name)
 	}
--- a/scenarios/cmd_download_test.go
+++ b/scenarios/cmd_download_test.go
@@ -27,8 +27,6 @@
 	done   chan struct{}
 }
 
-var downloads = map[*world]map[string]*download{}
-
 type downloadOptions struct {
 	To   string `long:"to" default:"d1"`
 	Rate int64  `long:"rate" default:"1000000" description:"bytes a second"`
@@ -51,7 +49,7 @@
 		startDownload(w, ts, name, args[2:])
 		return
 	}
-	d := downloads[w][name]
+	d := w.downloads[name]
 	switch args[0] {
 	case "flowing":
 		await(ts, awaitTimeout, "download "+name, func() error {
@@ -80,10 +78,7 @@
 		ts.Fatalf("download %s: status %d", name, answer.StatusCode)
 	}
 	d := &download{answer: answer, done: make(chan struct{})}
-	if downloads[w] == nil {
-		downloads[w] = map[string]*download{}
-	}
-	downloads[w][name] = d
+	w.downloads[name] = d
 	dispatcher := answer.Header.Get(wire.HeaderDispatcher)
 	ts.Setenv(name+"_DISPATCHER", dispatcher)
 	ts.Setenv("OTHER", w.uninvolved(o.To, dispatcher))
--- a/scenarios/cmd_entry_test.go
+++ b/scenarios/cmd_entry_test.go
@@ -32,8 +32,6 @@
 	done    chan struct{}
 }
 
-var begunRequests = map[*world]map[string]*begun{}
-
 // cmdBegin sends requests in the background; finish checks what the caller saw:
 //
 //	begin NAME [options of request] METHOD PATH
@@ -44,10 +42,7 @@
 		ts.Fatalf("usage: begin NAME [options] METHOD PATH")
 	}
 	w.mu.Lock()
-	if begunRequests[w] == nil {
-		begunRequests[w] = map[string]*begun{}
-	}
-	begunRequests[w][args[0]] = b
+	w.begun[args[0]] = b
 	w.mu.Unlock()
 	go func() {
 		defer close(b.done)
@@ -60,7 +55,7 @@
 //	finish NAME
 func cmdFinish(w *world, ts *testscript.TestScript, _ bool, args []string) {
 	w.mu.Lock()
-	b := begunRequests[w][args[0]]
+	b := w.begun[args[0]]
 	w.mu.Unlock()
 	if b == nil {
 		ts.Fatalf("nothing was begun as %s", args[0])
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -64,6 +64,11 @@
 	mu       sync.Mutex
 	observed []observation
 	loads    map[string]*load
+
+	// What the commands keep by name; the scenario's own goroutine uses it.
+	marks     map[string]time.Time
+	downloads map[string]*download
+	begun     map[string]*begun
 }
 
 // process is a daemon or the stand-ins.
@@ -79,11 +84,14 @@
 func newWorld(env *testscript.Env) (*world, error) {
 	network, taken, err := takeNetwork()
 	return &world{
-		env:     env,
-		network: network,
-		taken:   taken,
-		path:    env.Getenv("PATH"),
-		loads:   map[string]*load{},
+		env:       env,
+		network:   network,
+		taken:     taken,
+		path:      env.Getenv("PATH"),
+		loads:     map[string]*load{},
+		marks:     map[string]time.Time{},
+		downloads: map[string]*download{},
+		begun:     map[string]*begun{},
 	}, err
 }
 
