entry: one map that makes its values; cli: one reader of operators' files

Cause: the read-through found the same look-up-or-make under two locks in the links, the server loads and the watch of dispatchers, a goroutine life that kernel.Background already has, and three readings of a named file. Change: lazyMap serves the three; peers uses kernel.Background; readText. Behaviour as before, tests keep their assertions.

--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -86,6 +86,15 @@
 	return nil
 }
 
+// readText reads a file that the operator named.
+func readText(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &exitError{code: ExitBadUsage, err: err}
+	}
+	return text, nil
+}
+
 type setCommand struct {
 	part
 	Base uint64        `long:"base" value-name:"N" required:"true" description:"the version that the file was made from"`
@@ -103,9 +112,9 @@
 	if err != nil {
 		return err
 	}
-	text, err := os.ReadFile(c.Args.File)
+	text, err := readText(c.Args.File)
 	if err != nil {
-		return &exitError{code: ExitBadUsage, err: err}
+		return err
 	}
 	return c.global.change(settingstore.Change{
 		Base:  settings.Version(c.Base),
@@ -236,11 +245,8 @@
 	if c.Args.File == "" {
 		return c.side(c.To, scope)
 	}
-	text, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return "", nil, &exitError{code: ExitBadUsage, err: err}
-	}
-	return c.Args.File, text, nil
+	text, err := readText(c.Args.File)
+	return c.Args.File, text, err
 }
 
 type validateCommand struct {
@@ -258,9 +264,9 @@
 	if err != nil {
 		return err
 	}
-	text, err := os.ReadFile(c.Args.File)
+	text, err := readText(c.Args.File)
 	if err != nil {
-		return &exitError{code: ExitBadUsage, err: err}
+		return err
 	}
 	if c.Offline {
 		_, err = settings.Validate(c.Args.File, text, settings.Environment{})
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +16,7 @@
 // serverLoads keeps what this entry has outstanding at the servers of pools
 // that are not divided by key.
 type serverLoads struct {
-	mu    sync.RWMutex
-	loads map[model.ServerRef]*serverLoad
+	loads *lazyMap[model.ServerRef, *serverLoad]
 }
 
 type serverLoad struct {
@@ -27,25 +25,10 @@
 }
 
 func newServerLoads() *serverLoads {
-	return &serverLoads{loads: map[model.ServerRef]*serverLoad{}}
+	return &serverLoads{loads: newLazyMap(func(model.ServerRef) *serverLoad { return &serverLoad{} })}
 }
 
-func (s *serverLoads) of(ref model.ServerRef) *serverLoad {
-	s.mu.RLock()
-	load, ok := s.loads[ref]
-	s.mu.RUnlock()
-	if ok {
-		return load
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if load, ok := s.loads[ref]; ok {
-		return load
-	}
-	load = &serverLoad{}
-	s.loads[ref] = load
-	return load
-}
+func (s *serverLoads) of(ref model.ServerRef) *serverLoad { return s.loads.of(ref) }
 
 // avoid makes a server the last choice for a while.
 func (l *serverLoad) avoid(now time.Time) { l.avoidUntil.Store(now.Add(avoidPeriod).UnixNano()) }
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/httplink"
+	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/wire"
 )
 
@@ -28,11 +29,8 @@
 // peers watches the dispatchers that owe answers. One that is paused or cut off
 // keeps its connections open, so that only a question tells it from a slow one.
 type peers struct {
-	dial   httplink.Dial
-	cancel context.CancelFunc
-
-	mu        sync.RWMutex
-	byAddress map[string]*peer
+	background kernel.Background
+	byAddress  *lazyMap[string, *peer]
 }
 
 // peer is one dispatcher as this entry sees it.
@@ -55,21 +53,15 @@
 }
 
 func newPeers(dial httplink.Dial) *peers {
-	return &peers{dial: dial, byAddress: map[string]*peer{}}
+	return &peers{byAddress: newLazyMap(func(address string) *peer {
+		return &peer{asks: httplink.NewPool(address, 1, dial), waiting: map[*waiter]struct{}{}}
+	})}
 }
 
 // start looks at the dispatchers until stop.
-func (p *peers) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	go p.run(ctx)
-}
+func (p *peers) start() { p.background.Go(p.run) }
 
-func (p *peers) stop() {
-	if p.cancel != nil {
-		p.cancel()
-	}
-}
+func (p *peers) stop() { p.background.Stop() }
 
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(lookPeriod)
@@ -85,32 +77,15 @@
 }
 
 func (p *peers) look(ctx context.Context, now time.Time) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	for _, one := range p.byAddress {
+	p.byAddress.each(func(one *peer) {
 		if one.due(now) && one.asking.CompareAndSwap(false, true) {
 			go one.ask(ctx)
 		}
-	}
+	})
 }
 
 // of returns the watch of a dispatcher.
-func (p *peers) of(address string) *peer {
-	p.mu.RLock()
-	one, ok := p.byAddress[address]
-	p.mu.RUnlock()
-	if ok {
-		return one
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if one, ok := p.byAddress[address]; ok {
-		return one
-	}
-	one = &peer{asks: httplink.NewPool(address, 1, p.dial), waiting: map[*waiter]struct{}{}}
-	p.byAddress[address] = one
-	return one
-}
+func (p *peers) of(address string) *peer { return p.byAddress.of(address) }
 
 // begin notes an attempt. Its context ends with errSilent when the dispatcher
 // turns out to be silent, unless the request may not be sent again.
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -31,14 +31,9 @@
 }
 
 func (b *bench) silent() bool {
-	b.entry.peers.mu.RLock()
-	defer b.entry.peers.mu.RUnlock()
-	for _, p := range b.entry.peers.byAddress {
-		if p.silent.Load() {
-			return true
-		}
-	}
-	return false
+	silent := false
+	b.entry.peers.byAddress.each(func(p *peer) { silent = silent || p.silent.Load() })
+	return silent
 }
 
 func TestRequestLeavesADispatcherThatDoesNotAnswer(t *testing.T) {
