--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,28 @@
 	Embedded *Embedded `json:"embedded,omitempty"`
 	// AdminAuth protects the admin address.
 	AdminAuth *AdminAuth `json:"admin_auth,omitempty"`
+	// Fenced is set for a fleet whose servers check the owners of their keys
+	// themselves. Its daemons have no admin and dispatch address.
+	Fenced *Fenced `json:"fenced,omitempty"`
+}
+
+// Fenced holds the settings of a daemon of a fenced fleet.
+type Fenced struct {
+	// ReadinessAddress answers the balancer; MetricsAddress serves counters and
+	// histograms. Each is ip:port; the second one may be empty.
+	ReadinessAddress string `json:"readiness_address"`
+	MetricsAddress   string `json:"metrics_address,omitempty"`
+	// MemoryMB is what the process may use, in megabytes.
+	MemoryMB int `json:"memory_mb"`
+	// GraceSeconds is the time after SIGTERM at which the process is killed.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// RepeatShare bounds the repeated sends to a service as a share of the first
+	// ones, over the fleet; RepeatExtra sends in RepeatWindowSeconds come on top.
+	RepeatShare         float64 `json:"repeat_share"`
+	RepeatExtra         int     `json:"repeat_extra"`
+	RepeatWindowSeconds float64 `json:"repeat_window_seconds"`
+	// MaxHoldSeconds bounds the time for which a server may own keys without a renewal.
+	MaxHoldSeconds float64 `json:"max_hold_seconds"`
 }
 
 // Embedded describes the stand-ins of a trial installation.
@@ -142,7 +164,7 @@
 	}
 	for _, l := range c.listeners() {
 		if l.address == op.Addr.String() {
-			return jsonc.Problems{doc.Problem([]string{l.name}, "cannot listen on %s: %v", l.address, op.Err)}
+			return jsonc.Problems{doc.Problem(strings.Split(l.name, "."), "cannot listen on %s: %v", l.address, op.Err)}
 		}
 	}
 	return err
@@ -154,6 +176,13 @@
 }
 
 func (c *Config) listeners() []namedAddress {
+	if c.Fenced != nil {
+		return []namedAddress{
+			{"caller_address", c.CallerAddress},
+			{"control_address", c.ControlAddress},
+			{"fenced.readiness_address", c.Fenced.ReadinessAddress},
+		}
+	}
 	return []namedAddress{
 		{"caller_address", c.CallerAddress},
 		{"admin_address", c.AdminAddress},
@@ -183,6 +212,7 @@
 		}
 	}
 	c.checkPlatform(add)
+	c.checkFenced(add)
 	c.checkFiles(add)
 	if !knownLevel(c.LogLevel) {
 		add("log_level", "found %q, want debug, info, warn or error", c.LogLevel)
@@ -221,6 +251,36 @@
 	}
 }
 
+func (c *Config) checkFenced(add func(path, format string, args ...any)) {
+	f := c.Fenced
+	if f == nil {
+		return
+	}
+	if f.MetricsAddress != "" {
+		if problem := addressProblem(f.MetricsAddress); problem != "" {
+			add("fenced.metrics_address", "%s", problem)
+		}
+	}
+	if f.MemoryMB < 1 {
+		add("fenced.memory_mb", "found %d, want 1 or more", f.MemoryMB)
+	}
+	if f.GraceSeconds < 1 {
+		add("fenced.grace_seconds", "found %v, want 1 or more", f.GraceSeconds)
+	}
+	if f.RepeatShare < 0 {
+		add("fenced.repeat_share", "found %v, want 0 or more", f.RepeatShare)
+	}
+	if f.RepeatExtra < 0 {
+		add("fenced.repeat_extra", "found %d, want 0 or more", f.RepeatExtra)
+	}
+	if f.RepeatWindowSeconds <= 0 {
+		add("fenced.repeat_window_seconds", "found %v, want more than 0", f.RepeatWindowSeconds)
+	}
+	if f.MaxHoldSeconds <= 0 {
+		add("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
+	}
+}
+
 func (c *Config) checkFiles(add func(path, format string, args ...any)) {
 	for _, named := range c.files() {
 		if *named.file == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,9 +62,24 @@
 		func() *netx.Network { return d.network },
 		func() *control.Loop { return d.loop },
 		func() *zap.Logger { return log },
+		metrics.New,
+	} {
+		if err := d.kernel.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	if d.config.Fenced != nil {
+		return d.provideFenced()
+	}
+	return d.provideDispatching()
+}
+
+// provideDispatching registers the services of a daemon that dispatches for
+// servers, and sees to the owners of their keys, in their place.
+func (d *Daemon) provideDispatching() error {
+	for _, constructor := range []any{
 		func() *journal.Journal { return journal.New(d.config.Name) },
 		func() admin.ReadinessSource { return d.kernel.Readiness },
-		metrics.New,
 		directory.New,
 		ownership.NewGate,
 		observe.NewBoard,
@@ -138,7 +153,9 @@
 // stops all services. An error says what was cut off.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.kernel.Leave()
-	d.handOver(ctx)
+	if d.config.Fenced == nil {
+		d.handOver(ctx)
+	}
 	err := d.kernel.Drain(ctx)
 	if stopErr := d.stopServices(ctx); err == nil {
 		err = stopErr
@@ -162,8 +179,14 @@
 	return err
 }
 
+// graceMargin is kept back of the time after which the process is killed.
+const graceMargin = 700 * time.Millisecond
+
 // ShutdownTimeout bounds Stop.
 func (d *Daemon) ShutdownTimeout() time.Duration {
+	if d.config.Fenced != nil {
+		return time.Duration(d.config.Fenced.GraceSeconds*float64(time.Second)) - graceMargin
+	}
 	return time.Duration(d.config.ShutdownSeconds) * time.Second
 }
 
--- /dev/null
+++ b/internal/daemon/fenced.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"runtime/debug"
+
+	"github.com/chicorylug/chicorylug/internal/backends"
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/control"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/follow"
+	"github.com/chicorylug/chicorylug/internal/gateway"
+	"github.com/chicorylug/chicorylug/internal/keeper"
+	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	internalplatform "github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/rpc"
+	"github.com/chicorylug/chicorylug/platform"
+)
+
+// memoryShare is the part of the allowed memory, in percent, that the runtime
+// aims for; the rest is for bytes that wait in sockets and for spikes.
+const memoryShare = 65
+
+// provideFenced registers the services of a daemon whose servers check the
+// owners of their keys themselves.
+func (d *Daemon) provideFenced() error {
+	debug.SetMemoryLimit(int64(d.config.Fenced.MemoryMB) << 20 * memoryShare / 100)
+	for _, constructor := range []any{
+		catalog.New,
+		rpc.NewServer,
+		rpc.NewClient,
+		backends.New,
+		func() dialect.Dialect { return &platform.Dialect{} },
+		func(c *config.Config, network *netx.Network) internalplatform.Feed {
+			return platform.NewStore(c.PlatformAddress, network.Dial)
+		},
+		func(f *follow.Follow) backends.FleetSize {
+			return func() int { return len(f.Daemons()) }
+		},
+	} {
+		if err := d.kernel.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	for _, add := range []func() error{
+		func() error { return kernel.Add[*control.Listener](d.kernel, control.NewListener) },
+		func() error { return kernel.Add[*metrics.Listener](d.kernel, metrics.NewListener) },
+		func() error { return kernel.Add[*follow.Follow](d.kernel, follow.New) },
+		func() error { return kernel.Add[*gateway.Gateway](d.kernel, gateway.New) },
+		func() error { return kernel.Add[*keeper.Keeper](d.kernel, keeper.New) },
+	} {
+		if err := add(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -12,11 +12,11 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/chicorylug/chicorylug/internal/admin"
 	"github.com/chicorylug/chicorylug/internal/buildinfo"
 	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/logging"
 	"github.com/chicorylug/chicorylug/internal/settings"
 )
 
@@ -59,7 +59,7 @@
 		fmt.Fprintf(stdout, "%s: ok\n", o.Config)
 		return ExitOK
 	}
-	if err := run(c, stderr); err != nil {
+	if err := run(o.Config, c, stdout, stderr); err != nil {
 		err = config.AddressProblem(o.Config, c, err)
 		fmt.Fprintf(stderr, "chicorylugd: %v\n", err)
 		return ExitFailed
@@ -113,13 +113,21 @@
 }
 
 // run serves until SIGTERM or SIGINT, then finishes the requests in progress.
-func run(c *config.Config, stderr io.Writer) error {
-	log, err := NewLogger(c.LogLevel, stderr)
+func run(file string, c *config.Config, stdout, stderr io.Writer) error {
+	out := stderr
+	if c.Fenced != nil {
+		out = stdout
+	}
+	log, err := logging.New(c.LogLevel, out)
 	if err != nil {
 		return err
 	}
+	defer log.Close()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go checkAtReload(file, reloads, log.Logger)
 	if c.Embedded != nil {
 		embedded, err := StartEmbedded(c)
 		if err != nil {
@@ -127,20 +135,36 @@
 		}
 		defer embedded.Stop()
 	}
-	d, err := New(c, nil, log)
+	d, err := New(c, nil, log.Logger)
 	if err != nil {
 		return err
 	}
+	log.Info("starting", zap.String("daemon", string(c.Name)), zap.String("zone", string(c.Zone)), zap.String("version", buildinfo.Version))
 	if err := d.Start(context.Background()); err != nil {
 		return err
 	}
-	log.Info("serving", zap.String("callers", c.CallerAddress), zap.String("operators", c.AdminAddress))
+	log.Info("serving", zap.String("callers", c.CallerAddress), zap.String("operators", c.AdminAddress), zap.String("control", c.ControlAddress))
 	got := <-signals
 	log.Info("stopping", zap.Stringer("signal", got))
 	ctx, cancel := context.WithTimeout(context.Background(), d.ShutdownTimeout())
 	defer cancel()
-	go endAtSignal(ctx, signals, cancel, log)
-	return d.Stop(ctx)
+	go endAtSignal(ctx, signals, cancel, log.Logger)
+	err = d.Stop(ctx)
+	log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// checkAtReload reads the settings file at each SIGHUP and says what is wrong
+// with it. The settings of a process hold for its life; the file's content
+// counts at the next start.
+func checkAtReload(file string, reloads <-chan os.Signal, log *zap.Logger) {
+	for range reloads {
+		if _, err := load(file); err != nil {
+			log.Error("settings file not usable, the settings of the start stay", zap.String("file", file), zap.Error(err))
+			continue
+		}
+		log.Info("settings file read again, it counts at the next start", zap.String("file", file))
+	}
 }
 
 // endAtSignal ends the wait for the requests in progress at the next signal.
@@ -152,15 +176,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// NewLogger returns a structured logger that writes JSON lines.
-func NewLogger(level string, out io.Writer) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log_level")
-	}
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(zapcore.AddSync(out)), parsed)
-	return zap.New(core), nil
-}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -108,7 +108,7 @@
 // stream passes the answer on while it arrives. The call ends with the stream.
 func (a *answer) stream() {
 	a.call.streams = true
-	a.call.entry.watch.ignoreCaller(a.call.watched)
+	a.call.entry.watch.IgnoreCaller(a.call.watched)
 	a.call.trace("answered", "streamed")
 	copyAnswer(&a.received.Header, &a.call.ctx.Response.Header)
 	_ = a.call.ctx.SetWriteDeadline(a.call.work.Deadline)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicorylug/chicorylug/internal/callwatch"
 	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/ownership"
 	"github.com/chicorylug/chicorylug/internal/reason"
@@ -181,7 +182,7 @@
 // ended tells why the call's context ended.
 func (c *call) ended(outcome reason.Outcome, peer, when string) *reason.Error {
 	code := reason.DeadlinePassed
-	if errors.Is(context.Cause(c.context), errCallerGone) {
+	if errors.Is(context.Cause(c.context), callwatch.ErrCallerGone) {
 		code = reason.CallerGone
 	}
 	refusal := reason.New(code, "forward", peer, "%v, %s", context.Cause(c.context), when)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/chicorylug/chicorylug/internal/callwatch"
 	"github.com/chicorylug/chicorylug/internal/claim"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/directory"
@@ -47,7 +48,7 @@
 	servers   *serverLoads
 	budgets   *retry.Budgets
 	admission admission
-	watch     *callWatch
+	watch     *callwatch.Watch
 	ids       *idSource
 	sample    atomic.Uint64
 
@@ -80,7 +81,7 @@
 		peers:     newPeers(network.Dial),
 		servers:   newServerLoads(),
 		budgets:   retry.NewBudgets(),
-		watch:     newCallWatch(),
+		watch:     callwatch.New(),
 		ids:       newIDSource(),
 	}
 }
@@ -113,7 +114,7 @@
 		Logger:                       quietLogger{},
 	}
 	e.metrics.Func("entry_in_progress", func() any { return e.admission.inProgress() })
-	e.watch.start()
+	e.watch.Start()
 	e.peers.start()
 	go func() { _ = e.http.Serve(listener) }()
 	return nil
@@ -177,7 +178,7 @@
 // Stop implements kernel.Service.
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.http.ShutdownWithContext(ctx)
-	e.watch.stop()
+	e.watch.Stop()
 	e.peers.stop()
 	e.links.close()
 	return errors.Wrap(err, "close the caller address")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/chicorylug/chicorylug/internal/callwatch"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/wire"
@@ -239,7 +240,7 @@
 	<-reached
 	_ = conn.Close()
 	for b.entry.admission.total() > 0 {
-		time.Sleep(watchPeriod)
+		time.Sleep(callwatch.Period)
 	}
 	must.NotNil(t, b.entry.metrics.Map("refusals").Get(string(reason.CallerGone)))
 	close(released)
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicorylug/chicorylug/internal/callwatch"
 	"github.com/chicorylug/chicorylug/internal/journal"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/reason"
@@ -28,7 +29,7 @@
 
 	// context ends at the deadline, and early when the caller is gone.
 	context    context.Context
-	watched    *watchedCall
+	watched    *callwatch.Call
 	tallied    func(refused bool) // counts the end of the call
 	refused    bool
 	streams    bool // the answer's body is read after the handler returned
@@ -185,11 +186,11 @@
 func (c *call) watchCall() {
 	var cancel context.CancelCauseFunc
 	c.context, cancel = context.WithCancelCause(context.Background())
-	c.watched = &watchedCall{conn: c.ctx.Conn(), deadline: c.work.Deadline, cancel: cancel}
+	c.watched = &callwatch.Call{Conn: c.ctx.Conn(), Deadline: c.work.Deadline, Cancel: cancel}
 	if c.work.Once {
-		c.watched.conn = nil
+		c.watched.Conn = nil
 	}
-	c.entry.watch.add(c.watched)
+	c.entry.watch.Add(c.watched)
 }
 
 func (c *call) checkIdempotency() *reason.Error {
@@ -241,8 +242,8 @@
 func (c *call) end() {
 	c.tallied(c.refused)
 	if c.watched != nil {
-		c.entry.watch.remove(c.watched)
-		c.watched.cancel(nil)
+		c.entry.watch.Remove(c.watched)
+		c.watched.Cancel(nil)
 	}
 	rank := c.entry.admission.rank(c.found.rank)
 	rank.free(c.reserved)
--- /dev/null
+++ b/internal/follow/run.go
@@ -0,0 +1,382 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/placement"
+	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/rpc"
+)
+
+// Bounds of following.
+const (
+	storeFollowers = 3                       // daemons that follow the store while all is well
+	storeWait      = 1200 * time.Millisecond // the store's answer without a change comes after this
+	storeTimeout   = 1900 * time.Millisecond // bound of one wait; a slow store answers within it
+	readTimeout    = 1500 * time.Millisecond // bound of one read of a whole collection
+	peerWait       = 600 * time.Millisecond  // a daemon's answer without a change comes after this
+	peerTimeout    = 900 * time.Millisecond  // bound of one wait for a daemon
+	joinPause      = 150 * time.Millisecond  // pause after a change, in which further ones join it
+	firstPause     = 400 * time.Millisecond  // time for the other daemons of a new system to register
+	failurePause   = 300 * time.Millisecond  // pause after a failed call to the store
+	suspectFor     = 2 * time.Second         // a daemon that did not answer is passed over for this time
+	freshWithin    = 2500 * time.Millisecond // a daemon that heard from the store within this is worth following
+)
+
+const methodPoll rpc.Method = "follow.poll"
+
+// pollRequest says what a daemon has. Records that it lacks are the answer.
+type pollRequest struct {
+	Have   map[platform.Collection]platform.Revision `json:"have"`
+	WaitMS int64                                     `json:"wait_ms"`
+}
+
+type pollAnswer struct {
+	Updates map[platform.Collection]update `json:"updates,omitempty"`
+	// AgeMS is the time since the answering daemon heard from the store.
+	AgeMS int64 `json:"age_ms"`
+	// OnStore says that it follows the store itself.
+	OnStore bool `json:"on_store"`
+}
+
+// run registers this daemon and follows until ctx ends.
+func (f *Follow) run(ctx context.Context) {
+	f.askSeeds(ctx)
+	f.register(ctx)
+	pause(ctx, firstPause)
+	if err := f.read(ctx, platform.Shared); err != nil {
+		f.log.Warn("daemons not read", zap.String("peer", "store"), zap.Error(err))
+	}
+	for ctx.Err() == nil {
+		if f.designated() {
+			f.followStore(ctx)
+			continue
+		}
+		if !f.followPeers(ctx) {
+			f.followStore(ctx)
+		}
+	}
+}
+
+// askSeeds takes what the seeds know, for a start during which the store does not answer.
+func (f *Follow) askSeeds(ctx context.Context) {
+	for _, seed := range f.config.Seeds {
+		if seed == f.config.ControlAddress {
+			continue
+		}
+		if _, err := f.poll(ctx, seed, 0); err == nil {
+			return
+		}
+	}
+}
+
+// register writes this daemon's record, over that of its last life.
+func (f *Follow) register(ctx context.Context) {
+	value, err := json.Marshal(f.Self())
+	if err != nil {
+		f.log.Error("not registered", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		err := f.putSelf(ctx, value)
+		if err == nil {
+			return
+		}
+		f.log.Warn("not registered, trying again", zap.String("peer", "store"), zap.Error(err))
+		if f.catalog.Load().Configuration != nil {
+			// The seeds know enough to serve; the record can wait.
+			f.background.Go(func(ctx context.Context) {
+				pause(ctx, failurePause)
+				f.register(ctx)
+			})
+			return
+		}
+		pause(ctx, failurePause)
+	}
+}
+
+func (f *Follow) putSelf(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	name := daemonPrefix + string(f.config.Name)
+	expect := platform.Revision(0)
+	if held, ok := f.replicas[platform.Shared].get(name); ok {
+		expect = held.Revision
+	}
+	record := platform.Record{Name: name, Value: value}
+	revision, err := f.feed.Put(ctx, platform.Shared, record, expect)
+	if err == nil {
+		f.storeAnswered()
+		record.Revision = revision
+		f.Learn(platform.Shared, record)
+		return nil
+	}
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAmbiguous) {
+		if readErr := f.read(ctx, platform.Shared); readErr != nil {
+			return readErr
+		}
+	}
+	return err
+}
+
+// ranked returns the daemons in the order in which they follow the store.
+func (f *Follow) ranked() []Daemon {
+	daemons := f.Daemons()
+	sort.Slice(daemons, func(i, j int) bool {
+		a := placement.Score(string(ServiceName), string(daemons[i].Name))
+		b := placement.Score(string(ServiceName), string(daemons[j].Name))
+		return a > b
+	})
+	return daemons
+}
+
+// Candidates returns the daemons that follow the store while all is well.
+func (f *Follow) Candidates() []Daemon {
+	ranked := f.ranked()
+	return ranked[:min(storeFollowers, len(ranked))]
+}
+
+// designated reports that this daemon should follow the store itself.
+func (f *Follow) designated() bool {
+	for _, d := range f.Candidates() {
+		if d.Name == f.config.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Follow) suspected(name model.DaemonID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.failed[name]
+	return ok && time.Since(at) < suspectFor
+}
+
+func (f *Follow) suspect(name model.DaemonID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed[name] = time.Now()
+}
+
+// followPeers follows one of the daemons that follow the store, as long as it
+// answers and hears from the store. It reports false when none does.
+func (f *Follow) followPeers(ctx context.Context) bool {
+	candidates := f.Candidates()
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	for _, d := range candidates {
+		if d.Name == f.config.Name || f.suspected(d.Name) {
+			continue
+		}
+		if f.followPeer(ctx, d) {
+			return true
+		}
+	}
+	return false
+}
+
+// followPeer follows one daemon until it fails. It reports that it answered well at all.
+func (f *Follow) followPeer(ctx context.Context, d Daemon) bool {
+	good := false
+	for ctx.Err() == nil {
+		answer, err := f.poll(ctx, d.Control, peerWait)
+		if err != nil {
+			f.suspect(d.Name)
+			f.log.Info("daemon not followed any more", zap.String("peer", string(d.Name)), zap.Error(err))
+			return good
+		}
+		if !answer.OnStore || time.Duration(answer.AgeMS)*time.Millisecond > freshWithin {
+			f.suspect(d.Name)
+			f.log.Info("daemon does not hear from the store", zap.String("peer", string(d.Name)), zap.Int64("age_ms", answer.AgeMS))
+			return good
+		}
+		good = true
+		if f.designated() {
+			return true
+		}
+	}
+	return true
+}
+
+// poll asks a daemon for what is new there.
+func (f *Follow) poll(ctx context.Context, address string, wait time.Duration) (*pollAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout-peerWait)
+	defer cancel()
+	request := &pollRequest{Have: map[platform.Collection]platform.Revision{}, WaitMS: wait.Milliseconds()}
+	for _, c := range collections {
+		request.Have[c] = f.replicas[c].known()
+	}
+	answer, err := rpc.Call[pollAnswer](ctx, f.client, address, methodPoll, request)
+	if err != nil {
+		return nil, err
+	}
+	for c, u := range answer.Updates {
+		if f.replicas[c] != nil {
+			f.publish(c, f.replicas[c].apply(u))
+		}
+	}
+	heard := time.Now().Add(-time.Duration(answer.AgeMS) * time.Millisecond)
+	if last := f.heardAt.Load(); last == nil || heard.After(*last) {
+		f.heardAt.Store(&heard)
+	}
+	return answer, nil
+}
+
+func (f *Follow) servePoll(ctx context.Context, request *pollRequest) (*pollAnswer, error) {
+	deadline := time.Now().Add(time.Duration(request.WaitMS) * time.Millisecond)
+	for {
+		changed := f.Changed()
+		answer := f.lacking(request)
+		left := time.Until(deadline)
+		if len(answer.Updates) > 0 || left <= 0 {
+			return answer, nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (f *Follow) lacking(request *pollRequest) *pollAnswer {
+	answer := &pollAnswer{Updates: map[platform.Collection]update{}, AgeMS: f.Age().Milliseconds(), OnStore: f.OnStore()}
+	for _, c := range collections {
+		if f.replicas[c].known() == 0 {
+			continue
+		}
+		u := f.replicas[c].since(request.Have[c])
+		if u.Full || len(u.Records) > 0 {
+			answer.Updates[c] = u
+		}
+	}
+	return answer
+}
+
+// followStore follows all collections of the store: a designated daemon until
+// ctx ends or it is not designated any more, another one for one round.
+func (f *Follow) followStore(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, c := range collections {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.followCollection(ctx, c)
+		}()
+	}
+	all.Wait()
+}
+
+func (f *Follow) followCollection(ctx context.Context, c platform.Collection) {
+	failing := false
+	for ctx.Err() == nil {
+		err := f.wait(ctx, c)
+		if err != nil && !failing {
+			f.log.Warn("store lost", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
+		}
+		if err == nil && failing {
+			f.log.Info("store regained", zap.String("peer", "store"), zap.String("collection", string(c)))
+		}
+		failing = err != nil
+		if failing {
+			f.catchUp(ctx)
+			pause(ctx, failurePause+rand.N(failurePause))
+		}
+		if !f.designated() {
+			return
+		}
+	}
+}
+
+// catchUp asks the other candidates what they know, for a daemon that the store
+// does not serve.
+func (f *Follow) catchUp(ctx context.Context) {
+	for _, d := range f.Candidates() {
+		if d.Name == f.config.Name || f.suspected(d.Name) {
+			continue
+		}
+		answer, err := f.poll(ctx, d.Control, 0)
+		if err != nil {
+			f.suspect(d.Name)
+			continue
+		}
+		if answer.OnStore {
+			return
+		}
+	}
+}
+
+// wait takes the next changes of a collection.
+func (f *Follow) wait(ctx context.Context, c platform.Collection) error {
+	if f.replicas[c].known() == 0 {
+		return f.read(ctx, c)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := f.feed.Changes(waitCtx, c, f.replicas[c].known(), storeWait)
+	f.calls.Inc()
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.log.Info("history gone, reading anew", zap.String("collection", string(c)))
+		return f.read(ctx, c)
+	}
+	if err != nil {
+		return err
+	}
+	f.storeAnswered()
+	f.publish(c, f.replicas[c].apply(update{Records: wireRecords(page.Records), Revision: page.Revision}))
+	if len(page.Records) > 0 {
+		pause(ctx, joinPause)
+	}
+	return nil
+}
+
+// read takes a whole collection.
+func (f *Follow) read(ctx context.Context, c platform.Collection) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := f.feed.Read(ctx, c)
+	f.calls.Inc()
+	if err != nil {
+		return err
+	}
+	f.storeAnswered()
+	f.publish(c, f.replicas[c].apply(update{Full: true, Records: wireRecords(page.Records), Revision: page.Revision}))
+	return nil
+}
+
+func (f *Follow) storeAnswered() {
+	now := time.Now()
+	f.storeAt.Store(&now)
+	f.heardAt.Store(&now)
+}
+
+func wireRecords(records []platform.Record) []wireRecord {
+	list := make([]wireRecord, 0, len(records))
+	for _, record := range records {
+		list = append(list, wireRecord(record))
+	}
+	return list
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/backends"
+	"github.com/chicorylug/chicorylug/internal/callwatch"
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/netx"
+)
+
+// ServiceName is the gateway's name in the kernel.
+const ServiceName kernel.Name = "gateway"
+
+// Bounds of callers' connections and of the shutdown.
+const (
+	headerBytes  = 20 * 1024               // headers of a request
+	readTimeout  = 10 * time.Second        // bound of reading the headers of a request
+	idleTimeout  = 60 * time.Second        // a connection without a request is closed after this
+	bodyShare    = 4                       // bodies in memory may take one part in so many of the memory
+	balancerTime = 3500 * time.Millisecond // time in which the balancer learns that the daemon is leaving
+	ownersWait   = 4 * time.Second         // time after the start in which owners of keys are awaited
+)
+
+// Gateway serves callers and the balancer.
+type Gateway struct {
+	config   *config.Config
+	network  *netx.Network
+	dialect  dialect.Dialect
+	catalog  *catalog.Catalog
+	backends *backends.Backends
+	watch    *callwatch.Watch
+	weights  *weights
+	log      *zap.Logger
+	meters   meters
+
+	bodies    atomic.Int64 // bytes of bodies in memory
+	maxBodies int64
+	calls     atomic.Int64 // in progress
+	started   time.Time
+	ready     atomic.Bool
+	leaving   atomic.Bool
+
+	http      *fasthttp.Server
+	readiness *fasthttp.Server
+}
+
+// New returns a gateway that is not yet started.
+func New(
+	c *config.Config,
+	network *netx.Network,
+	d dialect.Dialect,
+	cat *catalog.Catalog,
+	b *backends.Backends,
+	registry *metrics.Registry,
+	log *zap.Logger,
+) *Gateway {
+	return &Gateway{
+		config:    c,
+		network:   network,
+		dialect:   d,
+		catalog:   cat,
+		backends:  b,
+		watch:     callwatch.New(),
+		weights:   newWeights(),
+		log:       log.Named(string(ServiceName)),
+		meters:    newMeters(registry),
+		maxBodies: int64(c.Fenced.MemoryMB) << 20 / bodyShare,
+	}
+}
+
+// Name implements kernel.Service.
+func (g *Gateway) Name() kernel.Name { return ServiceName }
+
+// After implements kernel.Service.
+func (g *Gateway) After() []kernel.Name { return []kernel.Name{"follow"} }
+
+// Start implements kernel.Service.
+func (g *Gateway) Start(context.Context) error {
+	callers, err := g.network.Listen(g.config.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	balancer, err := g.network.Listen(g.config.Fenced.ReadinessAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	g.config.CallerAddress = callers.Addr().String()
+	g.config.Fenced.ReadinessAddress = balancer.Addr().String()
+	g.started = time.Now()
+	g.http = &fasthttp.Server{
+		Handler:                      g.handle,
+		ErrorHandler:                 g.refuseUnread,
+		ReadBufferSize:               headerBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
+		Logger:                       quiet{},
+	}
+	g.readiness = &fasthttp.Server{Handler: g.serveReadiness, Logger: quiet{}, NoDefaultServerHeader: true}
+	g.watch.Start()
+	go g.serve(g.http, callers)
+	go g.serve(g.readiness, balancer)
+	return nil
+}
+
+func (g *Gateway) serve(server *fasthttp.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !g.leaving.Load() {
+		g.log.Error("address not served any more", zap.String("address", listener.Addr().String()), zap.Error(err))
+	}
+}
+
+// quiet drops the library's lines about callers' connections.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+func (g *Gateway) serveReadiness(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.dialect.ReadinessPath() {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if err := g.Ready(); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString(err.Error())
+	}
+}
+
+// Ready implements kernel.Service. Once ready, the gateway stays ready until it
+// leaves.
+func (g *Gateway) Ready() error {
+	if g.leaving.Load() {
+		return errors.New("shutting down")
+	}
+	if g.ready.Load() {
+		return nil
+	}
+	if err := g.able(time.Since(g.started)); err != nil {
+		return err
+	}
+	g.ready.Store(true)
+	g.log.Info("ready", zap.Duration("after", time.Since(g.started)))
+	return nil
+}
+
+// able returns nil when requests can be served: a configuration is known and,
+// for a while after the start, the owners of all keys.
+func (g *Gateway) able(age time.Duration) error {
+	snapshot := g.catalog.Load()
+	if snapshot.Configuration == nil {
+		return errors.New("no configuration is known")
+	}
+	for _, service := range snapshot.Configuration.KeyedServices() {
+		if snapshot.Owners[service.Name] == nil && age < ownersWait {
+			return errors.Errorf("the owners of the keys of %s are not known", service.Name)
+		}
+	}
+	return nil
+}
+
+// Drain implements kernel.Drainer. Callers are accepted until the balancer has
+// learned that the daemon leaves; then the requests in progress are finished.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.leaving.Store(true)
+	select {
+	case <-time.After(balancerTime):
+	case <-ctx.Done():
+	}
+	err := g.http.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
+	}
+	cut := g.calls.Load()
+	g.log.Error("requests cut off", zap.String("step", "drain"), zap.Int64("requests", cut), zap.Error(err))
+	return errors.Wrapf(err, "finish requests in progress: %d were cut off", cut)
+}
+
+// Stop implements kernel.Service.
+func (g *Gateway) Stop(ctx context.Context) error {
+	err := g.http.ShutdownWithContext(ctx)
+	if readinessErr := g.readiness.ShutdownWithContext(ctx); err == nil {
+		err = readinessErr
+	}
+	g.watch.Stop()
+	g.backends.Close()
+	return errors.Wrap(err, "close the addresses of callers and balancer")
+}
--- /dev/null
+++ b/internal/gateway/meters.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/reason"
+)
+
+// meters are the gateway's counters and histograms.
+type meters struct {
+	registry *metrics.Registry
+	answered *metrics.Histogram
+	refused  *metrics.Histogram
+	repeats  *metrics.Counter
+}
+
+func newMeters(r *metrics.Registry) meters {
+	return meters{
+		registry: r,
+		answered: r.Histogram(`request_seconds{outcome="answered"}`),
+		refused:  r.Histogram(`request_seconds{outcome="refused"}`),
+		repeats:  r.Counter(`repeated_sends_total`),
+	}
+}
+
+func (m *meters) refusal(code reason.Code, outcome reason.Outcome) {
+	m.registry.Counter(fmt.Sprintf(`refusals_total{reason=%q,outcome=%q}`, code, outcome)).Inc()
+}
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -21,8 +21,8 @@
 	resp   *fasthttp.Response
 	ctx    context.Context
 	stop   func() bool
-	length int64 // body length in bytes, -1 when it comes in chunks
-	left   int64 // body bytes still expected; -1 when it comes in chunks
+	length int64 // body length in bytes, or chunked or unframed
+	left   int64 // body bytes still expected, or chunked or unframed
 	end    bool  // the body was read to its end
 	broken bool  // the request was not sent whole: the connection is not reused
 	once   sync.Once
@@ -91,7 +91,7 @@
 	}
 	e.length = bodyLength(e.resp)
 	e.left = e.length
-	if e.length == unframed {
+	if e.length == unframed && !e.pool.unframed {
 		return e.failure(StageRead, true, ErrUnframed)
 	}
 	return nil
@@ -123,7 +123,8 @@
 	return int64(resp.Header.ContentLength())
 }
 
-// Length returns the length of the whole body in bytes, or -1 when it comes in chunks.
+// Length returns the length of the whole body in bytes, or a negative number
+// when it is not known before the end.
 func (e *Exchange) Length() int { return int(e.length) }
 
 // Read reads the body. A body that ends early is io.ErrUnexpectedEOF, never io.EOF.
@@ -132,7 +133,7 @@
 		e.end = true
 		return 0, io.EOF
 	}
-	count, err := e.resp.BodyStream().Read(p)
+	count, err := e.body().Read(p)
 	if e.left > 0 {
 		e.left -= int64(count)
 	}
@@ -142,6 +143,15 @@
 	return count, e.ended(err)
 }
 
+// body returns where the body is read. One without a frame is all that comes
+// until the peer ends the connection.
+func (e *Exchange) body() io.Reader {
+	if e.length == unframed {
+		return e.conn.reader
+	}
+	return e.resp.BodyStream()
+}
+
 func (e *Exchange) ended(err error) error {
 	if !errors.Is(err, io.EOF) {
 		return e.cause(err)
@@ -177,7 +187,7 @@
 
 func (e *Exchange) close() {
 	intact := e.stop()
-	keep := intact && e.Whole() && !e.broken && !e.resp.ConnectionClose()
+	keep := intact && e.Whole() && e.length != unframed && !e.broken && !e.resp.ConnectionClose()
 	_ = e.resp.CloseBodyStream()
 	if keep && e.conn.reader.Buffered() == 0 {
 		e.pool.release(e.conn)
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -22,8 +22,11 @@
 	address string
 	dial    Dial
 	limit   int
+	// unframed allows answers that end with their connection.
+	unframed bool
 
 	mu     sync.Mutex
+	keep   time.Duration // idle connections are closed after this
 	idle   []*conn
 	open   int
 	closed bool
@@ -31,7 +34,24 @@
 
 // NewPool returns a pool of at most limit connections to address.
 func NewPool(address string, limit int, dial Dial) *Pool {
-	return &Pool{address: address, dial: dial, limit: limit}
+	return &Pool{address: address, dial: dial, limit: limit, keep: idleLimit}
+}
+
+// AcceptUnframed takes answers without length or chunks. They are whole when the
+// peer ends the connection in order. It must be called before the first exchange.
+func (p *Pool) AcceptUnframed() { p.unframed = true }
+
+// SetIdleLimit tells how long the peer keeps idle connections.
+func (p *Pool) SetIdleLimit(peer time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = min(peer/2, idleLimit)
+}
+
+func (p *Pool) idleFor() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keep
 }
 
 // SetLimit changes the limit. Connections above it are closed when they are free.
@@ -85,7 +105,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleAt) < idleLimit && quiet(c.Conn) {
+		if time.Since(c.idleAt) < p.idleFor() && quiet(c.Conn) {
 			return c, nil
 		}
 		p.discard(c)
--- /dev/null
+++ b/internal/keeper/holder.go
@@ -0,0 +1,54 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+)
+
+// Times of a grant. A server's clock may run slow by clockSlack; a call may
+// still be on its way for callSlack after its sender gave it up.
+const (
+	hold           = 2400 * time.Millisecond
+	renewPeriod    = 600 * time.Millisecond
+	retryPeriod    = 100 * time.Millisecond // pause after a failed renewal
+	grantTimeout   = 400 * time.Millisecond
+	releaseTimeout = 900 * time.Millisecond
+	clockSlack     = 0.02
+	callSlack      = 100 * time.Millisecond
+)
+
+// runOut is the time after which a grant that was sent has surely ended.
+func runOut() time.Duration {
+	return time.Duration(float64(hold)*(1+clockSlack)) + callSlack
+}
+
+// holder is what the keeper knows of one life of a server.
+type holder struct {
+	server *catalog.Server
+	caller *caller
+	busy   bool      // a call is under way
+	nextAt time.Time // of the next renewal
+	// heldUntil is the moment by which every grant that the server may have got
+	// has run out.
+	heldUntil time.Time
+	// doubtUntil is the moment until which a grant without an answer may still
+	// come into force.
+	doubtUntil time.Time
+	ended      bool // the process has ended and holds nothing
+	silent     time.Time
+	answered   time.Time
+}
+
+// sent notes the sending of a grant.
+func (h *holder) sent(at time.Time) {
+	if until := at.Add(runOut()); until.After(h.heldUntil) {
+		h.heldUntil = until
+	}
+}
+
+// free reports that the server surely holds no keys.
+func (h *holder) free(now time.Time) bool { return h.ended || now.After(h.heldUntil) }
+
+// lost reports that the server does not answer.
+func (h *holder) lost() bool { return h.ended || !h.silent.IsZero() }
--- /dev/null
+++ b/internal/keeper/plan.go
@@ -0,0 +1,274 @@
+package keeper
+
+import (
+	"sort"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Bounds of the balance.
+const (
+	tolerated   = 1.12 // load by capacity, relative to the average, up to which a server is left alone
+	movesAtOnce = 6    // moves of one round for the sake of balance
+	pieces      = 3    // servers among which the keys of a lost server are divided
+)
+
+// Move takes a run of keys from one server to another.
+type Move struct {
+	From, To int // inclusive
+	// Source is empty when nobody can hold the keys.
+	Source model.ServerID
+	Target *catalog.Server
+}
+
+// carrier is a server that can own keys.
+type carrier struct {
+	server   *catalog.Server
+	capacity float64
+	load     float64
+}
+
+func (c *carrier) used() float64 { return c.load / c.capacity }
+
+// planner works out moves on a copy of the ranges.
+type planner struct {
+	load     *load
+	ranges   []catalog.Range
+	carriers []*carrier
+	byID     map[model.ServerID]*carrier
+	moves    []Move
+}
+
+// newPlanner returns a planner for the servers that may get keys.
+func newPlanner(l *load, ranges []catalog.Range, servers []*catalog.Server) *planner {
+	p := &planner{load: l, ranges: append([]catalog.Range(nil), ranges...), byID: map[model.ServerID]*carrier{}}
+	for _, server := range servers {
+		c := &carrier{server: server, capacity: l.capacity(server)}
+		p.carriers = append(p.carriers, c)
+		p.byID[server.ID] = c
+	}
+	sort.Slice(p.carriers, func(i, j int) bool { return p.carriers[i].server.ID < p.carriers[j].server.ID })
+	for _, r := range p.ranges {
+		if c := p.byID[r.Server]; c != nil {
+			c.load += l.of(r.From, r.To)
+		}
+	}
+	return p
+}
+
+// divide returns ranges for a service that has none, equal by load and capacity.
+func divide(l *load, servers []*catalog.Server) []catalog.Range {
+	if len(servers) == 0 {
+		return nil
+	}
+	sorted := append([]*catalog.Server(nil), servers...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
+	total := 0.0
+	for _, s := range sorted {
+		total += l.capacity(s)
+	}
+	all := l.of(0, catalog.LastKey)
+	var ranges []catalog.Range
+	from, passed, due := 0, 0.0, 0.0
+	for i, s := range sorted {
+		due += all * l.capacity(s) / total
+		to := from
+		passed += l.key(to)
+		for to < catalog.LastKey && passed+l.key(to+1) <= due {
+			to++
+			passed += l.key(to)
+		}
+		if i == len(sorted)-1 {
+			to = catalog.LastKey
+		}
+		ranges = append(ranges, catalog.Range{From: from, To: to, Server: s.ID, Born: s.Born})
+		from = to + 1
+	}
+	return ranges
+}
+
+// rehome gives the keys of a server that may not keep them to a few others.
+// Source names the server when it still holds them.
+func (p *planner) rehome(r catalog.Range, source model.ServerID) {
+	from := r.From
+	parts := min(pieces, len(p.carriers))
+	for part := parts; part > 0; part-- {
+		target := p.leastUsed()
+		if target == nil {
+			return
+		}
+		to := p.cut(from, r.To, p.load.of(from, r.To)/float64(part))
+		if part == 1 {
+			to = r.To
+		}
+		p.add(Move{From: from, To: to, Source: source, Target: target.server})
+		target.load += p.load.of(from, to)
+		from = to + 1
+		if from > r.To {
+			return
+		}
+	}
+}
+
+// cut returns the last key of a run that begins at from and has about the wanted load.
+func (p *planner) cut(from, to int, wanted float64) int {
+	passed := p.load.key(from)
+	for key := from; key < to; key++ {
+		next := p.load.key(key + 1)
+		if passed+next > wanted {
+			return key
+		}
+		passed += next
+	}
+	return to
+}
+
+func (p *planner) leastUsed() *carrier {
+	var best *carrier
+	for _, c := range p.carriers {
+		if best == nil || c.used() < best.used() {
+			best = c
+		}
+	}
+	return best
+}
+
+// balance moves keys from the servers that have too many requests for their
+// speed. movable says whether keys may leave a server now.
+func (p *planner) balance(movable func(model.ServerID) bool) {
+	for range movesAtOnce {
+		source := p.mostUsed(movable)
+		target := p.leastUsed()
+		if source == nil || target == nil || source == target {
+			return
+		}
+		average := p.average()
+		if source.used() < tolerated*average {
+			return
+		}
+		wanted := min(source.load-average*source.capacity, average*target.capacity-target.load)
+		if wanted <= 0 || !p.shift(source, target, wanted) {
+			return
+		}
+	}
+}
+
+func (p *planner) mostUsed(movable func(model.ServerID) bool) *carrier {
+	var worst *carrier
+	for _, c := range p.carriers {
+		if movable(c.server.ID) && (worst == nil || c.used() > worst.used()) {
+			worst = c
+		}
+	}
+	return worst
+}
+
+func (p *planner) average() float64 {
+	load, capacity := 0.0, 0.0
+	for _, c := range p.carriers {
+		load += c.load
+		capacity += c.capacity
+	}
+	return load / capacity
+}
+
+// shift moves about the wanted load from the end of one of the source's ranges,
+// where possible of one that borders on the target's.
+func (p *planner) shift(source, target *carrier, wanted float64) bool {
+	best, bestFrom, bestTo, bestLoad, borders := -1, 0, 0, 0.0, false
+	for i, r := range p.ranges {
+		if r.Server != source.server.ID {
+			continue
+		}
+		for _, upper := range []bool{false, true} {
+			from, to := p.end(r, wanted, upper)
+			if from > to {
+				continue
+			}
+			moved := p.load.of(from, to)
+			touches := p.borders(i, upper, target.server.ID)
+			if best < 0 || (touches && !borders) || (touches == borders && moved > bestLoad) {
+				best, bestFrom, bestTo, bestLoad, borders = i, from, to, moved, touches
+			}
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	p.take(best, bestFrom, bestTo, target.server)
+	p.add(Move{From: bestFrom, To: bestTo, Source: source.server.ID, Target: target.server})
+	source.load -= bestLoad
+	target.load += bestLoad
+	return true
+}
+
+// end returns the run of keys at one end of a range with at most the wanted load.
+func (p *planner) end(r catalog.Range, wanted float64, upper bool) (from, to int) {
+	passed := 0.0
+	if upper {
+		from = r.To + 1
+		for from > r.From && passed+p.load.key(from-1) <= wanted {
+			from--
+			passed += p.load.key(from)
+		}
+		return from, r.To
+	}
+	to = r.From - 1
+	for to < r.To && passed+p.load.key(to+1) <= wanted {
+		to++
+		passed += p.load.key(to)
+	}
+	return r.From, to
+}
+
+func (p *planner) borders(i int, upper bool, id model.ServerID) bool {
+	if upper {
+		return i+1 < len(p.ranges) && p.ranges[i+1].Server == id
+	}
+	return i > 0 && p.ranges[i-1].Server == id
+}
+
+// take changes the planner's copy of a range.
+func (p *planner) take(i, from, to int, target *catalog.Server) {
+	p.ranges = assign(p.ranges, from, to, target, 0)
+}
+
+func (p *planner) add(m Move) { p.moves = append(p.moves, m) }
+
+// assign returns ranges in which a run of keys belongs to a server.
+func assign(ranges []catalog.Range, from, to int, target *catalog.Server, fence catalog.Fence) []catalog.Range {
+	var next []catalog.Range
+	added := catalog.Range{From: from, To: to, Server: target.ID, Born: target.Born, Fence: fence}
+	for _, r := range ranges {
+		if r.From < from {
+			left := r
+			left.To = min(r.To, from-1)
+			next = append(next, left)
+		}
+		if r.To > to {
+			right := r
+			right.From = max(r.From, to+1)
+			next = append(next, right)
+		}
+	}
+	next = append(next, added)
+	sort.Slice(next, func(i, j int) bool { return next[i].From < next[j].From })
+	return next
+}
+
+// merge joins neighbours of one life of a server. A joined range gets the fence,
+// which is above those of its parts.
+func merge(ranges []catalog.Range, fence catalog.Fence) []catalog.Range {
+	var merged []catalog.Range
+	for _, r := range ranges {
+		last := len(merged) - 1
+		if last >= 0 && merged[last].To+1 == r.From && merged[last].Server == r.Server && merged[last].Born == r.Born {
+			merged[last].To = r.To
+			merged[last].Fence = fence
+			continue
+		}
+		merged = append(merged, r)
+	}
+	return merged
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,9 +6,12 @@
 import (
 	"expvar"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 
+	vm "github.com/VictoriaMetrics/metrics"
+
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/tally"
 )
@@ -21,11 +24,34 @@
 	refusals *expvar.Map
 	retries  *expvar.Map
 	tally    *tally.Tally
+
+	// published holds the counters and histograms of the metrics address.
+	published *vm.Set
 }
 
+// Counter and Histogram are metrics of the metrics address. Names may carry labels.
+type (
+	Counter   = vm.Counter
+	Histogram = vm.PrometheusHistogram
+)
+
+// Counter returns the named counter of the metrics address.
+func (r *Registry) Counter(name string) *Counter { return r.published.GetOrCreateCounter(name) }
+
+// Histogram returns the named histogram, in seconds, of the metrics address.
+func (r *Registry) Histogram(name string) *Histogram {
+	return r.published.GetOrCreatePrometheusHistogram(name)
+}
+
+// Gauge publishes a value on the metrics address that is computed when it is read.
+func (r *Registry) Gauge(name string, f func() float64) { r.published.GetOrCreateGauge(name, f) }
+
+// WriteText writes the counters and histograms in the Prometheus text format.
+func (r *Registry) WriteText(w io.Writer) { r.published.WritePrometheus(w) }
+
 // New returns an empty registry with the refusal and retry maps in place.
 func New() *Registry {
-	r := &Registry{tally: tally.New()}
+	r := &Registry{tally: tally.New(), published: vm.NewSet()}
 	r.vars.Init()
 	r.refusals = r.Map("refusals")
 	r.retries = r.Map("retries")
