--- a/internal/control/listen.go
+++ b/internal/control/listen.go
@@ -32,7 +32,12 @@
 
 // After implements kernel.Service. The dispatch and admin addresses are told to
 // peers and must be known first.
-func (l *Listener) After() []kernel.Name { return []kernel.Name{"dispatcher", "admin"} }
+func (l *Listener) After() []kernel.Name {
+	if l.config.Fenced != nil {
+		return nil // its daemons have neither
+	}
+	return []kernel.Name{"dispatcher", "admin"}
+}
 
 // Ready implements kernel.Service.
 func (l *Listener) Ready() error { return nil }
