--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -27,7 +27,7 @@
 type holder struct {
 	server *catalog.Server
 	caller *caller
-	busy   bool      // a call is under way
+	calls  int       // grants that are under way
 	nextAt time.Time // of the next renewal
 	// heldUntil is the moment by which every grant that the server may have got
 	// has run out.
--- a/internal/keeper/load.go
+++ b/internal/keeper/load.go
@@ -11,7 +11,7 @@
 
 // How load is averaged.
 const (
-	loadFades     = 5 * time.Second // time in which a count loses most of its worth
+	loadFades     = 8 * time.Second // time in which a count loses most of its worth
 	uniformShare  = 0.1             // part of the load that is taken to be the same for all keys
 	leastRequests = 60              // requests that must have been counted before keys move for balance
 	usualService  = 100 * time.Millisecond
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"math"
 	"sort"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -9,9 +10,10 @@
 
 // Bounds of the balance.
 const (
-	tolerated   = 1.12 // load by capacity, relative to the average, up to which a server is left alone
-	movesAtOnce = 6    // moves of one round for the sake of balance
-	pieces      = 3    // servers among which the keys of a lost server are divided
+	tolerated   = 1.1 // load by capacity, relative to the average, up to which a server is left alone
+	noise       = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
+	movesAtOnce = 6   // moves of one round for the sake of balance
+	pieces      = 3   // servers among which the keys of a lost server are divided
 )
 
 // Move takes a run of keys from one server to another.
@@ -29,6 +31,9 @@
 	load     float64
 }
 
+// tolerance is the load, relative to the average, up to which the server is left alone.
+func (c *carrier) tolerance() float64 { return tolerated + noise/math.Sqrt(max(c.load, 1)) }
+
 func (c *carrier) used() float64 { return c.load / c.capacity }
 
 // planner works out moves on a copy of the ranges.
@@ -144,7 +149,7 @@
 			return
 		}
 		average := p.average()
-		if source.used() < tolerated*average {
+		if source.used() < average*source.tolerance() {
 			return
 		}
 		wanted := min(source.load-average*source.capacity, average*target.capacity-target.load)
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -148,12 +148,12 @@
 			h = &holder{server: server, caller: newCaller(t.keeper.dialect, t.keeper.network, server), heldUntil: t.othersUntil}
 			t.holders[r.Server] = h
 		}
-		if h.busy || now.Before(h.nextAt) {
+		if h.calls > 0 || now.Before(h.nextAt) {
 			continue
 		}
-		h.busy = true
+		h.calls++
 		t.done.Add(1)
-		go t.renew(h, "")
+		go t.renew(h)
 	}
 }
 
@@ -194,22 +194,22 @@
 	return left
 }
 
-// renew grants all that a server owns. state goes with each grant.
-func (t *tender) renew(h *holder, state string) {
+// renew grants all that a server owns.
+func (t *tender) renew(h *holder) {
 	defer t.done.Done()
 	t.mu.Lock()
 	runs := t.grantsOf(h)
 	t.mu.Unlock()
 	var failure error
 	for _, r := range runs {
-		if failure = t.grant(h, r, state); failure != nil {
+		if failure = t.grant(h, r, ""); failure != nil {
 			break
 		}
 	}
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h.busy = false
+	h.calls--
 	h.nextAt = now.Add(renewPeriod)
 	if failure == nil {
 		if h.lost() && len(runs) > 0 {
@@ -474,14 +474,14 @@
 	return nil
 }
 
-// quietHolder waits until no renewal to a server is under way, so that none can
+// quietHolder waits until no grant to a server is under way, so that none can
 // overtake a release. It returns nil when one went without an answer.
 func (t *tender) quietHolder(id model.ServerID) *holder {
 	end := time.Now().Add(2 * grantTimeout)
 	for time.Now().Before(end) && t.ctx.Err() == nil {
 		t.mu.Lock()
 		h := t.holders[id]
-		usable := h != nil && !h.busy
+		usable := h != nil && h.calls == 0
 		doubt := h == nil || time.Now().Before(h.doubtUntil)
 		t.mu.Unlock()
 		if usable && doubt {
@@ -557,6 +557,7 @@
 			t.holders[m.Target.ID] = h
 		}
 		run := catalog.Range{From: m.From, To: m.To, Fence: t.fenceOf(m.From)}
+		h.calls++
 		t.done.Add(1)
 		go t.grantFirst(h, run, m.state)
 		h.nextAt = time.Time{}
@@ -566,7 +567,11 @@
 // grantFirst grants keys to a new owner together with the state of the last one.
 func (t *tender) grantFirst(h *holder, run catalog.Range, state string) {
 	defer t.done.Done()
-	if err := t.grant(h, run, state); err != nil {
+	err := t.grant(h, run, state)
+	t.mu.Lock()
+	h.calls--
+	t.mu.Unlock()
+	if err != nil {
 		t.log.Warn("new owner did not take its keys", zap.String("server", string(h.server.ID)),
 			zap.Int("from", run.From), zap.Int("to", run.To), zap.Error(err))
 	}
