Keep bodies in their zone; one follower of the store per zone

Change: a request with a large body or usual answer goes to a server of its zone while one is in time; the first daemon of each zone follows the store and the others of the zone follow it.

--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -118,23 +119,15 @@
 
 // Choose returns the server of a service without keys to send to, or nil when
 // there is none left that was not tried.
-func (b *Backends) Choose(snapshot *catalog.Snapshot, service model.PoolName, tried []model.ServerID) *catalog.Server {
+func (b *Backends) Choose(snapshot *catalog.Snapshot, w *Wanted) *catalog.Server {
 	now := time.Now()
 	var views []view
-	for _, server := range snapshot.ByService[service] {
-		if server.Leaving || contains(tried, server.ID) {
+	for _, server := range snapshot.ByService[w.Service] {
+		if server.Leaving || slices.Contains(w.Tried, server.ID) {
 			continue
 		}
-		views = append(views, b.link(server).state.view(server, b.stats.usual(service), now))
+		views = append(views, b.link(server).state.view(server, b.stats.usual(w.Service), now))
 	}
-	return choose(views, b.zone)
-}
-
-func contains(tried []model.ServerID, id model.ServerID) bool {
-	for _, t := range tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+	w.Bytes += b.stats.usualBytes(w.Service)
+	return choose(views, b.zone, w)
 }
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -159,6 +159,7 @@
 			took = r.Took
 			l.state.served(took)
 		}
+		b.stats.sized(a.Server.Service, len(r.Answer.Body()))
 		l.state.outcome(r.Answer.StatusCode() >= fasthttp.StatusInternalServerError, now)
 		b.stats.answered(a.Server.Service, a.Server.ID, a.Keyed, took, load.Running+load.Waiting)
 	case r.Misdirected:
--- a/internal/backends/stats.go
+++ b/internal/backends/stats.go
@@ -30,10 +30,11 @@
 	mu       sync.Mutex
 	keyed    map[model.PoolName]*KeyedStats
 	services map[model.PoolName]time.Duration
+	answers  map[model.PoolName]float64 // average bytes of an answer
 }
 
 func newStats() *Stats {
-	return &Stats{keyed: map[model.PoolName]*KeyedStats{}, services: map[model.PoolName]time.Duration{}}
+	return &Stats{keyed: map[model.PoolName]*KeyedStats{}, services: map[model.PoolName]time.Duration{}, answers: map[model.PoolName]float64{}}
 }
 
 // of runs under the lock.
@@ -89,6 +90,20 @@
 	of.Servers[server] = stats
 }
 
+// sized counts the bytes of an answer.
+func (s *Stats) sized(service model.PoolName, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[service] += serviceWeight / 4 * (float64(bytes) - s.answers[service])
+}
+
+// usualBytes returns the average size of an answer.
+func (s *Stats) usualBytes(service model.PoolName) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.answers[service])
+}
+
 // usual returns the average service time of a service.
 func (s *Stats) usual(service model.PoolName) time.Duration {
 	s.mu.Lock()
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -19,9 +19,9 @@
 
 // Bounds of following.
 const (
-	storeFollowers = 3                       // daemons that follow the store while all is well
-	storeWait      = 1200 * time.Millisecond // the store's answer without a change comes after this
-	storeTimeout   = 1900 * time.Millisecond // bound of one wait; a slow store answers within it
+	storeFollowers = 3                       // daemons, at least, that follow the store while all is well
+	storeWait      = 1700 * time.Millisecond // the store's answer without a change comes after this
+	storeTimeout   = 2400 * time.Millisecond // bound of one wait; a slow store answers within it
 	readTimeout    = 1500 * time.Millisecond // bound of one read of a whole collection
 	peerWait       = 600 * time.Millisecond  // a daemon's answer without a change comes after this
 	peerTimeout    = 900 * time.Millisecond  // bound of one wait for a daemon
@@ -29,7 +29,7 @@
 	firstPause     = 400 * time.Millisecond  // time for the other daemons of a new system to register
 	failurePause   = 300 * time.Millisecond  // pause after a failed call to the store
 	suspectFor     = 2 * time.Second         // a daemon that did not answer is passed over for this time
-	freshWithin    = 2500 * time.Millisecond // a daemon that heard from the store within this is worth following
+	freshWithin    = 3000 * time.Millisecond // a daemon that heard from the store within this is worth following
 )
 
 const methodPoll rpc.Method = "follow.poll"
@@ -139,10 +139,23 @@
 	return daemons
 }
 
-// Candidates returns the daemons that follow the store while all is well.
+// Candidates returns the daemons that follow the store while all is well: the
+// first ones of each zone, so that news crosses zones once.
 func (f *Follow) Candidates() []Daemon {
 	ranked := f.ranked()
-	return ranked[:min(storeFollowers, len(ranked))]
+	zones := map[model.Zone]int{}
+	for _, d := range ranked {
+		zones[d.Zone] = 0
+	}
+	each := (storeFollowers + len(zones) - 1) / len(zones)
+	var candidates []Daemon
+	for _, d := range ranked {
+		if zones[d.Zone] < each {
+			zones[d.Zone]++
+			candidates = append(candidates, d)
+		}
+	}
+	return candidates
 }
 
 // designated reports that this daemon should follow the store itself.
@@ -171,9 +184,7 @@
 // followPeers follows one of the daemons that follow the store, as long as it
 // answers and hears from the store. It reports false when none does.
 func (f *Follow) followPeers(ctx context.Context) bool {
-	candidates := f.Candidates()
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	for _, d := range candidates {
+	for _, d := range f.nearestFirst(f.Candidates()) {
 		if d.Name == f.config.Name || f.suspected(d.Name) {
 			continue
 		}
@@ -184,6 +195,15 @@
 	return false
 }
 
+// nearestFirst puts the daemons of the own zone first; the rest is in random order.
+func (f *Follow) nearestFirst(daemons []Daemon) []Daemon {
+	rand.Shuffle(len(daemons), func(i, j int) { daemons[i], daemons[j] = daemons[j], daemons[i] })
+	sort.SliceStable(daemons, func(i, j int) bool {
+		return daemons[i].Zone == f.config.Zone && daemons[j].Zone != f.config.Zone
+	})
+	return daemons
+}
+
 // followPeer follows one daemon until it fails. It reports that it answered well at all.
 func (f *Follow) followPeer(ctx context.Context, d Daemon) bool {
 	good := false
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -74,7 +74,12 @@
 		return c.awaitOwner()
 	}
 	snapshot := c.gateway.catalog.Load()
-	server := c.gateway.backends.Choose(snapshot, c.service, c.tried)
+	server := c.gateway.backends.Choose(snapshot, &backends.Wanted{
+		Service: c.service,
+		Tried:   c.tried,
+		Bytes:   len(c.body),
+		Goal:    c.route.Goal,
+	})
 	if server == nil {
 		return nil, reason.New(reason.ServerUnreachable, "choose", string(c.service), "no server is left that was not tried")
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -32,8 +32,8 @@
 	silentAsks    = 2                      // questions in a row without an answer that make a keeper silent
 	reportPeriod  = time.Second            // time between two reports of load to a keeper
 	reportTimeout = 400 * time.Millisecond
-	storeFresh    = 2500 * time.Millisecond // the store has answered within this time
-	cutOffAfter   = 3 * time.Second         // a keeper that has not heard from the store for this time is replaced
+	storeFresh    = 3000 * time.Millisecond // the store has answered within this time
+	cutOffAfter   = 3500 * time.Millisecond // a keeper that has not heard from the store for this time is replaced
 	createWait    = 600 * time.Millisecond  // servers of a new service are awaited for this time
 )
 
--- a/internal/keeper/load.go
+++ b/internal/keeper/load.go
@@ -15,7 +15,7 @@
 	uniformShare  = 0.1             // part of the load that is taken to be the same for all keys
 	leastRequests = 60              // requests that must have been counted before keys move for balance
 	usualService  = 100 * time.Millisecond
-	quantiles     = 256 // points at which the load by key is kept in the store
+	quantiles     = 64 // points at which the load by key is kept in the store
 )
 
 // load is what the keeper knows of the requests to one service.
