keeper: after a broken call a server gets its keys only under new fences

Change: grants and releases name the server they are for; after a failed call the keeper only looks whether something listens, and grants again under new fences; another server's 421 means that the old process has ended. Also: a lost server's small ranges stay whole, a full owner is not asked twice, a server that did not own a key is asked again after 30 ms.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -69,6 +69,8 @@
 	GrantTaken GrantOutcome = iota
 	// GrantStale says that the server has seen a higher fence.
 	GrantStale
+	// GrantElsewhere says that another server answers at the address.
+	GrantElsewhere
 	// GrantRefused says that the server can't take the grant.
 	GrantRefused
 )
@@ -87,12 +89,12 @@
 	// NameRequest sets the id of the request on an answer of the system's own.
 	NameRequest(h *fasthttp.ResponseHeader, id model.RequestID)
 
-	// WriteGrant and ReadGrant encode a grant and decode its answer.
-	WriteGrant(req *fasthttp.Request, g Grant)
+	// WriteGrant and ReadGrant encode a grant for a server and decode its answer.
+	WriteGrant(req *fasthttp.Request, server model.ServerID, g Grant)
 	ReadGrant(status int) GrantOutcome
 	// WriteRelease and ReadRelease encode the end of a grant and decode the
 	// answer: the name of the state that was handed over.
-	WriteRelease(req *fasthttp.Request, from, to int, fence catalog.Fence)
+	WriteRelease(req *fasthttp.Request, server model.ServerID, from, to int, fence catalog.Fence)
 	ReadRelease(resp *fasthttp.Response) (state string, ok bool)
 
 	// Configuration decodes an operator's configuration.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -19,6 +19,8 @@
 const (
 	ownerPoll  = 10 * time.Millisecond   // period at which a wait looks for an owner
 	ownerShare = 3                       // an owner is awaited for one part in so many of the time left
+	ownerAgain = 30 * time.Millisecond   // a server that did not own a key may have got it after this time
+	extraSends = 2                       // sends that did not run, beside those that a route allows to run
 	leavingUse = 1500 * time.Millisecond // a server that leaves gets requests for its keys for this time
 	leastTime  = 5 * time.Millisecond    // time below which a request is not sent any more
 )
@@ -70,7 +72,7 @@
 	if cause := context.Cause(c.context); cause != nil {
 		return nil, c.over(cause)
 	}
-	if c.keyed && c.said.Key != dialect.NoKey {
+	if c.ownedKey() {
 		return c.awaitOwner()
 	}
 	snapshot := c.gateway.catalog.Load()
@@ -86,6 +88,9 @@
 	return server, nil
 }
 
+// ownedKey reports that only the owner of the request's key may run it.
+func (c *call) ownedKey() bool { return c.keyed && c.said.Key != dialect.NoKey }
+
 // over tells why the call's context ended.
 func (c *call) over(cause error) *reason.Error {
 	code := reason.DeadlinePassed
@@ -100,7 +105,7 @@
 func (c *call) awaitOwner() (*catalog.Server, *reason.Error) {
 	end := time.Now().Add(time.Until(c.until) / ownerShare)
 	for {
-		if server := c.owner(); server != nil {
+		if server := c.owner(time.Now()); server != nil {
 			return server, nil
 		}
 		if cause := context.Cause(c.context); cause != nil {
@@ -113,16 +118,16 @@
 	}
 }
 
-// owner returns the server that owns the request's key now, unless this request
-// was there already under the same fence.
-func (c *call) owner() *catalog.Server {
+// owner returns the server that owns the request's key now, unless it has just
+// said under the same fence that it does not.
+func (c *call) owner(now time.Time) *catalog.Server {
 	snapshot := c.gateway.catalog.Load()
 	owners := snapshot.Owners[c.service]
 	if owners == nil {
 		return nil
 	}
 	owned := owners.Owner(c.said.Key)
-	if owned == nil || (owned.Fence == c.fence && c.sends > 0) {
+	if owned == nil || (c.sends > 0 && owned.Fence == c.fence && now.Sub(c.misdirected) < ownerAgain) {
 		return nil
 	}
 	server := snapshot.Servers[owned.Server]
@@ -170,6 +175,7 @@
 	code := reason.ServerLost
 	switch {
 	case result.Ran == backends.RanNot && result.Misdirected:
+		c.misdirected = time.Now()
 		outcome, code = reason.NotRun, reason.WrongEpoch
 	case result.Ran == backends.RanNot && result.Arrived:
 		outcome, code = reason.NotRun, reason.ServerShed
@@ -177,6 +183,7 @@
 		outcome, code = reason.NotRun, reason.ServerUnreachable
 	default:
 		c.maybe = true
+		c.runs++
 	}
 	if cause := context.Cause(c.context); cause != nil {
 		refusal := c.over(cause)
@@ -195,10 +202,12 @@
 		return false
 	case c.route.Repeat == catalog.AtMostOnce && result.Ran != backends.RanNot:
 		return false
-	case c.sends >= max(c.route.MaxServers, 1):
+	case c.runs >= max(c.route.MaxServers, 1) || c.sends >= c.route.MaxServers+extraSends:
 		return false
 	case !result.Arrived:
 		return true
+	case c.ownedKey() && result.Ran == backends.RanNot && !result.Misdirected:
+		return false // the only server that may run it is full
 	default:
 		return c.gateway.backends.Budget().Take(c.service)
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -46,9 +46,12 @@
 
 	tried  []model.ServerID
 	sends  int
+	runs   int            // sends that ran or may have run
 	server model.ServerID // the last one that was sent to
 	fence  catalog.Fence
 	maybe  bool // an attempt may have run
+	// misdirected is when a server last said that it does not own the key.
+	misdirected time.Time
 }
 
 // handle serves one request of a caller.
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,7 +15,7 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 )
 
-const callConnections = 12 // connections for calls to one server
+const callConnections = 32 // connections for calls to one server
 
 // errEnded says that no process listens at the server's address: it holds nothing.
 var errEnded = errors.New("keeper: the server's process has ended")
@@ -24,6 +24,7 @@
 type caller struct {
 	dialect dialect.Dialect
 	server  *catalog.Server
+	dial    httplink.Dial
 	pool    *httplink.Pool
 }
 
@@ -39,7 +40,7 @@
 		}
 		return conn, nil
 	}
-	return &caller{dialect: d, server: server, pool: httplink.NewPool(server.Address, callConnections, dial)}
+	return &caller{dialect: d, server: server, dial: dial, pool: httplink.NewPool(server.Address, callConnections, dial)}
 }
 
 // callResult says what became of a call.
@@ -78,17 +79,33 @@
 
 // grant gives or renews a range.
 func (c *caller) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
-	answer, result := c.do(ctx, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, g) })
+	answer, result := c.do(ctx, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
 	if result.err != nil {
 		return dialect.GrantRefused, result
 	}
 	defer fasthttp.ReleaseResponse(answer)
-	return c.dialect.ReadGrant(result.status), result
+	outcome := c.dialect.ReadGrant(result.status)
+	if outcome == dialect.GrantElsewhere {
+		result.err = errors.Wrap(errEnded, "another server answers at its address")
+	}
+	return outcome, result
+}
+
+// reach reports whether a process listens at the server's address.
+func (c *caller) reach() error {
+	conn, err := c.dial(c.server.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(errEnded, err.Error())
+	}
+	if err != nil {
+		return err
+	}
+	return conn.Close()
 }
 
 // release takes a run of keys back. The answer comes when the work on them has ended.
 func (c *caller) release(ctx context.Context, from, to int, fence catalog.Fence) callResult {
-	answer, result := c.do(ctx, releaseTimeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, from, to, fence) })
+	answer, result := c.do(ctx, releaseTimeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
 	if result.err != nil {
 		return result
 	}
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -36,8 +36,11 @@
 	// come into force.
 	doubtUntil time.Time
 	ended      bool // the process has ended and holds nothing
-	silent     time.Time
-	answered   time.Time
+	// broken says that a grant failed. What answers at the address later may be
+	// another process: it is granted keys only under new fences.
+	broken    bool
+	reachable bool      // something listens at the address again
+	silent    time.Time // since when the server takes no grants; zero while it does
 }
 
 // sent notes the sending of a grant.
@@ -50,5 +53,5 @@
 // free reports that the server surely holds no keys.
 func (h *holder) free(now time.Time) bool { return h.ended || now.After(h.heldUntil) }
 
-// lost reports that the server does not answer.
-func (h *holder) lost() bool { return h.ended || !h.silent.IsZero() }
+// lost reports that the server does not take its grants.
+func (h *holder) lost() bool { return !h.silent.IsZero() }
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -13,7 +13,8 @@
 	tolerated   = 1.1 // load by capacity, relative to the average, up to which a server is left alone
 	noise       = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
 	movesAtOnce = 6   // moves of one round for the sake of balance
-	pieces      = 3   // servers among which the keys of a lost server are divided
+	pieces      = 3   // servers, at most, among which a range of a lost server is divided
+	pieceShare  = 0.3 // load of a server, relative to the average, that is worth a piece of its own
 )
 
 // Move takes a run of keys from one server to another.
@@ -97,7 +98,11 @@
 // Source names the server when it still holds them.
 func (p *planner) rehome(r catalog.Range, source model.ServerID) {
 	from := r.From
-	parts := min(pieces, len(p.carriers))
+	if len(p.carriers) == 0 {
+		return
+	}
+	usual := p.total() / float64(len(p.carriers))
+	parts := min(pieces, len(p.carriers), 1+int(p.load.of(r.From, r.To)/(pieceShare*usual)))
 	for part := parts; part > 0; part-- {
 		target := p.leastUsed()
 		if target == nil {
@@ -169,13 +174,22 @@
 	return worst
 }
 
+// average is the load by capacity over all servers.
 func (p *planner) average() float64 {
-	load, capacity := 0.0, 0.0
+	capacity := 0.0
 	for _, c := range p.carriers {
-		load += c.load
 		capacity += c.capacity
 	}
-	return load / capacity
+	return p.total() / capacity
+}
+
+// total is the load of all servers.
+func (p *planner) total() float64 {
+	load := 0.0
+	for _, c := range p.carriers {
+		load += c.load
+	}
+	return max(load, 1)
 }
 
 // shift moves about the wanted load from the end of one of the source's ranges,
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -194,42 +194,60 @@
 	return left
 }
 
-// renew grants all that a server owns.
+// renew grants all that a server owns. After a failure it only looks whether
+// something listens at the address.
 func (t *tender) renew(h *holder) {
 	defer t.done.Done()
 	t.mu.Lock()
 	runs := t.grantsOf(h)
+	broken := h.broken
 	t.mu.Unlock()
+	if broken {
+		err := h.caller.reach()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		h.calls--
+		h.nextAt = time.Now().Add(retryPeriod)
+		h.reachable = err == nil
+		h.ended = h.ended || errors.Is(err, errEnded)
+		return
+	}
 	var failure error
 	for _, r := range runs {
 		if failure = t.grant(h, r, ""); failure != nil {
 			break
 		}
 	}
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h.calls--
-	h.nextAt = now.Add(renewPeriod)
-	if failure == nil {
-		if h.lost() && len(runs) > 0 {
-			t.log.Info("server answers again", zap.String("server", string(h.server.ID)))
-		}
-		h.ended, h.silent = false, time.Time{}
-		h.answered = now
-		return
-	}
-	h.nextAt = now.Add(retryPeriod)
-	if errors.Is(failure, errEnded) {
-		h.ended = true
+	h.nextAt = time.Now().Add(renewPeriod)
+	if failure != nil {
+		t.failed(h, failure)
 	}
+}
+
+// failed notes that a server did not take a grant. It runs under the lock.
+func (t *tender) failed(h *holder, failure error) {
+	h.nextAt = time.Now().Add(retryPeriod)
+	h.broken, h.reachable = true, false
+	h.ended = h.ended || errors.Is(failure, errEnded)
 	if h.silent.IsZero() {
-		h.silent = now
+		h.silent = time.Now()
 		t.log.Warn("server does not take its keys", zap.String("server", string(h.server.ID)),
 			zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
 	}
 }
 
+// mend lets a server be granted keys again, under the new fences that it got.
+// It runs under the lock.
+func (t *tender) mend(h *holder) {
+	if h.broken {
+		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
+	}
+	h.broken, h.reachable, h.ended, h.silent = false, false, false, time.Time{}
+}
+
 // grant gives one run to a server.
 func (t *tender) grant(h *holder, r catalog.Range, state string) error {
 	if t.ctx.Err() != nil {
@@ -352,6 +370,8 @@
 	switch {
 	case server != nil && server.Born != r.Born:
 		p.rehome(r, "") // a new life under the same id holds nothing
+	case h != nil && h.broken && h.reachable && server != nil && !server.Leaving:
+		p.add(Move{From: r.From, To: r.To, Target: server})
 	case server == nil && h == nil:
 		if now.After(t.othersUntil) {
 			p.rehome(r, "")
@@ -548,6 +568,9 @@
 	defer t.mu.Unlock()
 	for _, m := range freed {
 		h := t.holders[m.Target.ID]
+		if h != nil && h.server.SameLife(m.Target) {
+			t.mend(h)
+		}
 		if h == nil || !h.server.SameLife(m.Target) {
 			server := snapshot.Servers[m.Target.ID]
 			if server == nil || !server.SameLife(m.Target) {
@@ -569,9 +592,10 @@
 	defer t.done.Done()
 	err := t.grant(h, run, state)
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	h.calls--
-	t.mu.Unlock()
 	if err != nil {
+		t.failed(h, err)
 		t.log.Warn("new owner did not take its keys", zap.String("server", string(h.server.ID)),
 			zap.Int("from", run.From), zap.Int("to", run.To), zap.Error(err))
 	}
