One client of the store: the stand-in platform speaks the published rows and objects

Cause: two clients and two protocols for the same thing. Change: the invented table protocol and its client are gone; platform.Store serves the product's table, objects and instance list too, and platformd speaks the published calls, with feeds, conditions and lost answers (the connection ends). Row versions come from the store's one counter, so the history of settings is pruned by the version that is read.

--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -17,11 +17,12 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 type bench struct {
 	standin *platformd.Server
-	client  *platform.Client
+	client  *adapter.Store
 	stores  []*Store
 }
 
@@ -29,7 +30,7 @@
 	standin, err := platformd.Start("127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(standin.Stop)
-	b := &bench{standin: standin, client: platform.NewClient(standin.Address(), nil)}
+	b := &bench{standin: standin, client: adapter.NewStore(standin.Address(), nil)}
 	for _, name := range []model.DaemonID{"d1", "d2"} {
 		b.stores = append(b.stores, New(&config.Config{Name: name}, b.client, metrics.New(), zap.NewNop()))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/chicorylug/chicorylug/internal/rpc"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/spread"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 // Daemon is one chicorylugd.
@@ -120,7 +121,7 @@
 }
 
 func newPlatform(c *config.Config, network *netx.Network) platform.Platform {
-	return platform.NewClient(c.PlatformAddress, network.Dial)
+	return adapter.NewStore(c.PlatformAddress, network.Dial)
 }
 
 // Start starts all services.
--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -14,6 +14,7 @@
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 // Embedded is a stand-in platform with stand-in servers inside the process,
@@ -43,7 +44,7 @@
 	}
 	c.PlatformAddress = p.Address()
 	e := &Embedded{platform: p}
-	if err := settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), tree); err != nil {
+	if err := settingstore.Seed(context.Background(), adapter.NewStore(p.Address(), nil), tree); err != nil {
 		return nil, err
 	}
 	e.register(platform.Instance{ID: string(c.Name), Kind: platform.KindDaemon, Zone: c.Zone, Address: c.ControlAddress})
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -24,11 +24,11 @@
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/ownership"
-	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/reason"
 	"github.com/chicorylug/chicorylug/internal/settings"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 	"github.com/chicorylug/chicorylug/internal/wire"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 const benchSettings = `{
@@ -70,7 +70,7 @@
 	t.Cleanup(standin.Stop)
 	conf := &config.Config{Name: "d1", CallerAddress: "127.0.0.1:0"}
 	registry := metrics.New()
-	claims := claim.New(conf, platform.NewClient(standin.Address(), nil), registry, zap.NewNop())
+	claims := claim.New(conf, adapter.NewStore(standin.Address(), nil), registry, zap.NewNop())
 	b.entry = New(conf, &netx.Network{}, benchDirectory(t, dispatch.Addr().String()), registry, journal.New("d1"), claims, zap.NewNop())
 	must.NoError(t, b.entry.Start(context.Background()))
 	t.Cleanup(func() { _ = b.entry.http.Shutdown() })
--- a/internal/experiment/loss.go
+++ b/internal/experiment/loss.go
@@ -14,9 +14,9 @@
 	"github.com/chicorylug/chicorylug/internal/fleet"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/ownership"
-	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/settings"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 const (
@@ -314,7 +314,7 @@
 
 // coordinator returns the daemon that holds the keyed pool's lease.
 func (l *lossRun) coordinator() (*fleet.Node, error) {
-	client := platform.NewClient(l.fleet.Platform.Address(), nil)
+	client := adapter.NewStore(l.fleet.Platform.Address(), nil)
 	row, err := client.Get(context.Background(), leasePrefix+string(l.deployment.keyed))
 	if err != nil {
 		return nil, errors.Wrap(err, "read lease")
--- a/internal/experiment/settings.go
+++ b/internal/experiment/settings.go
@@ -12,9 +12,9 @@
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/fleet"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/settings"
 	"github.com/chicorylug/chicorylug/internal/settingstore"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 const (
@@ -183,7 +183,7 @@
 }
 
 func (p *pollers) poll(ctx context.Context, index int, address string) {
-	client := platform.NewClient(address, nil)
+	client := adapter.NewStore(address, nil)
 	sleep(ctx, rand.N(selfPollPeriod))
 	ticker := time.NewTicker(selfPollPeriod)
 	defer ticker.Stop()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 const anyPort = "127.0.0.1:0"
@@ -78,7 +79,7 @@
 		return nil, errors.Wrap(err, "start platform")
 	}
 	f.Platform = p
-	if err := settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), o.Settings); err != nil {
+	if err := settingstore.Seed(context.Background(), adapter.NewStore(p.Address(), nil), o.Settings); err != nil {
 		return f, err
 	}
 	if err := f.startServers(); err != nil {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,13 +10,14 @@
 
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
-func start(t *testing.T) (*platformd.Server, *platform.Client) {
+func start(t *testing.T) (*platformd.Server, *adapter.Store) {
 	server, err := platformd.Start("127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(server.Stop)
-	return server, platform.NewClient(server.Address(), nil)
+	return server, adapter.NewStore(server.Address(), nil)
 }
 
 func write(expect platform.RowVersion, id string) platform.Write {
--- a/internal/settingstore/table.go
+++ b/internal/settingstore/table.go
@@ -230,6 +230,9 @@
 	if now <= historyLimit {
 		return
 	}
-	const writtenOnce platform.RowVersion = 1
-	_ = t.platform.Delete(ctx, historyKey(now-historyLimit), writtenOnce)
+	oldest, err := t.platform.Get(ctx, historyKey(now-historyLimit))
+	if err != nil {
+		return
+	}
+	_ = t.platform.Delete(ctx, oldest.Key, oldest.Version)
 }
--- a/internal/settingstore/table_test.go
+++ b/internal/settingstore/table_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 func newTable(t *testing.T) (table, *platformd.Server) {
@@ -17,7 +18,7 @@
 	p, err := platformd.Start("127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(p.Stop)
-	tb := table{platform.NewClient(p.Address(), nil)}
+	tb := table{adapter.NewStore(p.Address(), nil)}
 	must.NoError(t, Seed(t.Context(), tb.platform, []byte("one")))
 	return tb, p
 }
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/chicorylug/chicorylug/internal/settingstore"
 	"github.com/chicorylug/chicorylug/internal/standin/backend"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 // Config describes what the program runs.
@@ -93,5 +94,5 @@
 	if err != nil {
 		return errors.Wrap(err, "read the settings tree")
 	}
-	return settingstore.Seed(context.Background(), platform.NewClient(p.Address(), nil), tree)
+	return settingstore.Seed(context.Background(), adapter.NewStore(p.Address(), nil), tree)
 }
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -1,13 +1,12 @@
-// Package platformd is a small stand-in of the platform: table, object store
-// and instance list over the HTTP protocol of package platform, kept in
-// memory, with faults that tests switch on.
+// Package platformd is a small stand-in of the users' platform: its store of
+// rows and objects over the published protocol, kept in memory, with faults that
+// tests switch on. Registered instances stand in the store as they do on the
+// platform.
 package platformd
 
 import (
 	"encoding/json"
 	"net"
-	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +41,8 @@
 	ListLagMS int `json:"list_lag_ms"`
 	// ListDown refuses reads of the instance list.
 	ListDown bool `json:"list_down"`
+	// HistoryGone answers each wait for changes that the history is gone.
+	HistoryGone bool `json:"history_gone,omitempty"`
 }
 
 // Counts are the operations served since the start.
@@ -52,19 +53,13 @@
 	Conflicts int64 `json:"conflicts"`
 }
 
-type listChange struct {
-	at       time.Time
-	instance platform.Instance
-}
-
 // Server is the stand-in platform.
 type Server struct {
-	mu        sync.Mutex
-	rows      map[string]platform.Row
-	objects   map[string][]byte
-	instances map[string]platform.Instance
-	pending   []listChange
-	faults    Faults
+	mu      sync.Mutex
+	store   rowStore
+	objects map[string][]byte
+	pending []listChange
+	faults  Faults
 
 	reads, writes, listReads, conflicts atomic.Int64
 
@@ -72,23 +67,30 @@
 	http     *fasthttp.Server
 }
 
+// listChange is a change of the instance list that is not yet seen.
+type listChange struct {
+	at       time.Time
+	instance platform.Instance
+}
+
 // Start serves the platform's protocol on address (host:port; port 0 picks one).
 func Start(address string) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{
-		rows:      map[string]platform.Row{},
-		objects:   map[string][]byte{},
-		instances: map[string]platform.Instance{},
-		listener:  listener,
-	}
-	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 64 * 1024 * 1024}
+	s := &Server{store: newRowStore(), objects: map[string][]byte{}, listener: listener}
+	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 64 * 1024 * 1024, Logger: quiet{}}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
 
+// quiet drops what the HTTP library logs of connections that daemons abandon.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 // Address returns host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -111,9 +113,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lag := time.Duration(s.faults.ListLagMS) * time.Millisecond
+	if lag == 0 {
+		s.list(instance)
+		return
+	}
 	s.pending = append(s.pending, listChange{at: time.Now().Add(lag), instance: instance})
 }
 
+// list writes an instance as the platform keeps it. It runs under the lock.
+func (s *Server) list(instance platform.Instance) {
+	row := rowOf(instance)
+	row.Tombstone = instance.State == StateGone
+	s.store.write(row)
+}
+
+// applyPending shows the changes of the instance list that are due. It runs under the lock.
+func (s *Server) applyPending(now time.Time) {
+	var later []listChange
+	for _, change := range s.pending {
+		if change.at.After(now) {
+			later = append(later, change)
+			continue
+		}
+		s.list(change.instance)
+	}
+	s.pending = later
+}
+
+// PutRow writes a row without a condition, as the operator and the servers do.
+func (s *Server) PutRow(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.write(Row{Table: table, Key: key, Value: value})
+}
+
+// DropRow removes a row, as an end of a lease does.
+func (s *Server) DropRow(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.write(Row{Table: table, Key: key, Tombstone: true})
+}
+
 // Counts returns the operations served since the start.
 func (s *Server) Counts() Counts {
 	return Counts{
@@ -138,26 +178,35 @@
 	}
 	faults := s.currentFaults()
 	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	if path == platform.PathInstances {
-		s.handleInstances(ctx, faults)
-		return
-	}
-	if faults.Down {
+	if faults.refuses(string(ctx.QueryArgs().Peek("Table"))) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	switch path {
-	case platform.PathRow:
-		s.handleRow(ctx)
-	case platform.PathRows:
-		s.handleRows(ctx)
-	case platform.PathObject:
-		s.handleObject(ctx)
+	switch {
+	case path == callTransact:
+		s.transact(ctx)
+	case path == callRead:
+		s.readRows(ctx)
+	case path == callChanges:
+		s.waitChanges(ctx, faults)
+	case strings.HasPrefix(path, callPut):
+		s.putObject(ctx, strings.TrimPrefix(path, callPut))
+	case strings.HasPrefix(path, callGet):
+		s.getObject(ctx, strings.TrimPrefix(path, callGet))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 	}
 }
 
+// refuses reports that a call about a table is refused. The tables of the
+// instance list have a fault of their own.
+func (f Faults) refuses(table string) bool {
+	if listed(table) {
+		return f.ListDown
+	}
+	return f.Down
+}
+
 func (s *Server) handleControl(ctx *fasthttp.RequestCtx, path string) {
 	switch path {
 	case PathFaults:
@@ -179,147 +228,6 @@
 	}
 }
 
-func (s *Server) handleInstances(ctx *fasthttp.RequestCtx, faults Faults) {
-	s.listReads.Add(1)
-	if faults.ListDown {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
-	}
-	s.mu.Lock()
-	s.applyPending(time.Now())
-	list := make([]platform.Instance, 0, len(s.instances))
-	for _, instance := range s.instances {
-		list = append(list, instance)
-	}
-	s.mu.Unlock()
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	writeJSON(ctx, list)
-}
-
-func (s *Server) applyPending(now time.Time) {
-	var later []listChange
-	for _, change := range s.pending {
-		switch {
-		case change.at.After(now):
-			later = append(later, change)
-		case change.instance.State == StateGone:
-			delete(s.instances, change.instance.ID)
-		default:
-			s.instances[change.instance.ID] = change.instance
-		}
-	}
-	s.pending = later
-}
-
-func (s *Server) handleRow(ctx *fasthttp.RequestCtx) {
-	switch {
-	case ctx.IsGet():
-		s.getRow(ctx)
-	case ctx.IsPost():
-		s.writeRow(ctx)
-	case ctx.IsDelete():
-		s.deleteRow(ctx)
-	}
-}
-
-func (s *Server) getRow(ctx *fasthttp.RequestCtx) {
-	s.reads.Add(1)
-	s.mu.Lock()
-	row, ok := s.rows[string(ctx.QueryArgs().Peek("key"))]
-	s.mu.Unlock()
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	writeJSON(ctx, row)
-}
-
-func (s *Server) writeRow(ctx *fasthttp.RequestCtx) {
-	s.writes.Add(1)
-	var w platform.Write
-	if !decode(ctx, &w) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.rows[w.Key]
-	if current.Version != w.Expect {
-		s.conflicts.Add(1)
-		ctx.SetStatusCode(fasthttp.StatusConflict)
-		return
-	}
-	row := platform.Row{Key: w.Key, Value: w.Value, Version: current.Version + 1, WriteID: w.WriteID}
-	s.rows[w.Key] = row
-	if s.losesAnswer(w.Key) {
-		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
-		return
-	}
-	writeJSON(ctx, platform.Row{Key: row.Key, Version: row.Version, WriteID: row.WriteID})
-}
-
-// losesAnswer runs under the lock.
-func (s *Server) losesAnswer(key string) bool {
-	if s.faults.LoseAnswers == 0 || !strings.HasPrefix(key, s.faults.LoseAnswersPrefix) {
-		return false
-	}
-	s.faults.LoseAnswers--
-	return true
-}
-
-func (s *Server) deleteRow(ctx *fasthttp.RequestCtx) {
-	s.writes.Add(1)
-	key := string(ctx.QueryArgs().Peek("key"))
-	expect, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("expect")), 10, 64)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rows[key].Version != platform.RowVersion(expect) {
-		ctx.SetStatusCode(fasthttp.StatusConflict)
-		return
-	}
-	delete(s.rows, key)
-	writeJSON(ctx, struct{}{})
-}
-
-func (s *Server) handleRows(ctx *fasthttp.RequestCtx) {
-	s.reads.Add(1)
-	prefix := string(ctx.QueryArgs().Peek("prefix"))
-	limit := ctx.QueryArgs().GetUintOrZero("limit")
-	s.mu.Lock()
-	rows := []platform.Row{}
-	for key, row := range s.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	s.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	writeJSON(ctx, rows[:min(limit, len(rows))])
-}
-
-func (s *Server) handleObject(ctx *fasthttp.RequestCtx) {
-	name := string(ctx.QueryArgs().Peek("name"))
-	if ctx.IsPut() {
-		s.writes.Add(1)
-		s.mu.Lock()
-		s.objects[name] = append([]byte(nil), ctx.PostBody()...)
-		s.mu.Unlock()
-		return
-	}
-	s.reads.Add(1)
-	s.mu.Lock()
-	body, ok := s.objects[name]
-	s.mu.Unlock()
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	ctx.SetBody(body)
-}
-
 func decode(ctx *fasthttp.RequestCtx, out any) bool {
 	if err := json.Unmarshal(ctx.PostBody(), out); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/scenarios/cmd_ownership_test.go
+++ b/scenarios/cmd_ownership_test.go
@@ -1,15 +1,17 @@
 package scenarios
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/ownership"
-	"github.com/chicorylug/chicorylug/internal/platform"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 func init() {
@@ -120,18 +122,13 @@
 
 // lease reads a pool's lease row from the platform.
 func (w *world) lease(pool string) (ownership.Lease, error) {
-	var row platform.Row
 	var lease ownership.Lease
-	status, body, err := call(fasthttp.MethodGet, w.platformAddress(), platform.PathRow+"?key=lease/"+pool, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	row, err := adapter.NewStore(w.platformAddress(), nil).Get(ctx, "lease/"+pool)
 	if err != nil {
 		return lease, err
 	}
-	if status != fasthttp.StatusOK {
-		return lease, fmt.Errorf("status %d", status)
-	}
-	if err := json.Unmarshal(body, &row); err != nil {
-		return lease, err
-	}
 	return lease, json.Unmarshal(row.Value, &lease)
 }
 
