--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -139,6 +139,7 @@
 		{"events", "Show control decisions of all daemons with their causes", "chicorylug events --pool drafts --limit 20", &eventsCommand{global: g}},
 		{"drain", "Take a server out of service or back", "chicorylug drain drafts-3", &drainCommand{global: g}},
 		{"top", "Show live rates by pool, rank and server", "chicorylug top --once", &topCommand{global: g}},
+		{"trace", "Follow a request or a key through log files of several daemons", "chicorylug trace d1.log d2.log --request 9c41d07be2a35f68", &traceCommand{global: g}},
 		{"completion", "Print a shell's completion script", "chicorylug completion bash > /etc/bash_completion.d/chicorylug", &completionCommand{global: g}},
 	})
 	if err != nil {
--- a/internal/daemon/fenced.go
+++ b/internal/daemon/fenced.go
@@ -3,6 +3,8 @@
 import (
 	"runtime/debug"
 
+	"go.uber.org/zap"
+
 	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/config"
@@ -15,7 +17,9 @@
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
 	internalplatform "github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/rpc"
+	"github.com/chicorylug/chicorylug/internal/spread"
 	"github.com/chicorylug/chicorylug/platform"
 )
 
@@ -32,6 +36,8 @@
 		rpc.NewServer,
 		rpc.NewClient,
 		backends.New,
+		poison.NewTable,
+		newTelling,
 		func() dialect.Dialect { return &platform.Dialect{} },
 		func(c *config.Config, network *netx.Network) internalplatform.Feed {
 			return platform.NewStore(c.PlatformAddress, network.Dial)
@@ -57,3 +63,11 @@
 	}
 	return nil
 }
+
+// newTelling returns a spread that only tells: items go to all daemons at once,
+// and no rounds of comparison run.
+func newTelling(f *follow.Follow, server *rpc.Server, client *rpc.Client, log *zap.Logger) *spread.Spread {
+	s := spread.New(server, client, log)
+	s.SetPeers(f.Peers)
+	return s
+}
--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -484,6 +484,25 @@
 	must.NoError(t, <-ended)
 }
 
+func TestRequestThatCrashesServersIsStopped(t *testing.T) {
+	const most = 3 // servers that may end under the same request
+	w := newWorld(t, 3, 1, 6)
+	for _, s := range w.servers {
+		s.SetFaults(fenced.Faults{CrashOn: "bomb"})
+	}
+	for i := range 9 {
+		a := w.send(w.daemons[i%3], "POST", "/seal/bomb", -1, "same")
+		must.NotEq(t, 200, a.status)
+		time.Sleep(50 * time.Millisecond)
+	}
+	total := 0
+	for _, s := range w.servers {
+		total += s.Total()
+	}
+	must.LessEq(t, most, total)
+	must.Eq(t, 200, w.send(w.daemons[0], "POST", "/seal/other", -1, "same").status)
+}
+
 func TestMetricsAreServed(t *testing.T) {
 	w := newWorld(t, 1, 1, 1)
 	must.Eq(t, 200, w.send(w.daemons[0], "GET", "/read/x", 1, "").status)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -150,6 +150,17 @@
 	return append(list, f.Self())
 }
 
+// Peers returns the control addresses of the other daemons that answer.
+func (f *Follow) Peers() []string {
+	var peers []string
+	for _, d := range f.Daemons() {
+		if d.Name != f.config.Name && !f.suspected(d.Name) {
+			peers = append(peers, d.Control)
+		}
+	}
+	return peers
+}
+
 // DaemonByName returns a known daemon.
 func (f *Follow) DaemonByName(name model.DaemonID) (Daemon, bool) {
 	f.mu.Lock()
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -28,6 +28,9 @@
 // attempts sends the request until it is answered or may not be sent again.
 func (c *call) attempts() *reason.Error {
 	for {
+		if refusal := c.suspected(); refusal != nil {
+			return c.final(refusal)
+		}
 		server, refusal := c.pick()
 		if refusal != nil {
 			return c.final(refusal)
@@ -37,9 +40,11 @@
 		}
 		result := c.send(server)
 		if result.Ran == backends.RanYes && !c.worthAnother(result) {
+			c.absolve()
 			c.pass(result.Answer)
 			return nil
 		}
+		c.blame(server, result)
 		refusal = c.failed(server, result)
 		again := c.mayRepeat(result)
 		c.gateway.log.Info("send failed", c.fields(result.Took,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/poison"
 )
 
 // ServiceName is the gateway's name in the kernel.
@@ -30,6 +31,7 @@
 	idleTimeout  = 60 * time.Second        // a connection without a request is closed after this
 	bodyShare    = 4                       // bodies in memory may take one part in so many of the memory
 	balancerTime = 3500 * time.Millisecond // time in which the balancer learns that the daemon is leaving
+	tidyPeriod   = 2 * time.Second         // time between two looks for what can be forgotten
 	ownersWait   = 4 * time.Second         // time after the start in which owners of keys are awaited
 )
 
@@ -40,6 +42,7 @@
 	dialect  dialect.Dialect
 	catalog  *catalog.Catalog
 	backends *backends.Backends
+	poison   *poison.Table
 	watch    *callwatch.Watch
 	weights  *weights
 	log      *zap.Logger
@@ -54,6 +57,8 @@
 
 	http      *fasthttp.Server
 	readiness *fasthttp.Server
+
+	background kernel.Background
 }
 
 // New returns a gateway that is not yet started.
@@ -63,6 +68,7 @@
 	d dialect.Dialect,
 	cat *catalog.Catalog,
 	b *backends.Backends,
+	p *poison.Table,
 	registry *metrics.Registry,
 	log *zap.Logger,
 ) *Gateway {
@@ -72,6 +78,7 @@
 		dialect:   d,
 		catalog:   cat,
 		backends:  b,
+		poison:    p,
 		watch:     callwatch.New(),
 		weights:   newWeights(),
 		log:       log.Named(string(ServiceName)),
@@ -115,6 +122,7 @@
 	}
 	g.readiness = &fasthttp.Server{Handler: g.serveReadiness, Logger: quiet{}, NoDefaultServerHeader: true}
 	g.watch.Start()
+	g.background.Go(g.tidyLoop)
 	go g.serve(g.http, callers)
 	go g.serve(g.readiness, balancer)
 	return nil
@@ -126,6 +134,19 @@
 	}
 }
 
+// tidyLoop forgets servers that are gone and ends of servers that are long past.
+func (g *Gateway) tidyLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(tidyPeriod):
+		}
+		g.backends.Tidy()
+		g.poison.Expire(time.Now())
+	}
+}
+
 // quiet drops the library's lines about callers' connections.
 type quiet struct{}
 
@@ -199,6 +220,7 @@
 		err = readinessErr
 	}
 	g.watch.Stop()
+	g.background.Stop()
 	g.backends.Close()
 	return errors.Wrap(err, "close the addresses of callers and balancer")
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -17,6 +17,7 @@
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/hop"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/reason"
 )
 
@@ -39,6 +40,7 @@
 	service model.PoolName
 	keyed   bool
 	body    []byte
+	print   poison.Fingerprint
 
 	// context ends at until, and early when the caller is gone.
 	context context.Context
@@ -81,6 +83,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	c.print = c.fingerprint()
 	hop.StripRequest(&c.ctx.Request.Header)
 	var cancel context.CancelCauseFunc
 	c.context, cancel = context.WithCancelCause(context.Background())
@@ -258,7 +261,7 @@
 // answered with a status that says so.
 func statusOf(refusal *reason.Error) int {
 	switch refusal.Code {
-	case reason.NoRoute, reason.BodyTooLarge, reason.ShortUpload, reason.BadRequest, reason.Suspected:
+	case reason.NoRoute, reason.BodyTooLarge, reason.ShortUpload, reason.BadRequest:
 		return refusal.Code.Status()
 	}
 	if refusal.Outcome == reason.NotRun {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,7 +30,7 @@
 	lookPeriod    = 250 * time.Millisecond // time between two looks at the keepers
 	askTimeout    = 250 * time.Millisecond // bound of one question to a keeper
 	silentAsks    = 2                      // questions in a row without an answer that make a keeper silent
-	reportPeriod  = time.Second            // time between two reports of load to a keeper
+	reportPeriod  = 400 * time.Millisecond // time between two reports of load to a keeper
 	reportTimeout = 400 * time.Millisecond
 	storeFresh    = 3000 * time.Millisecond // the store has answered within this time
 	cutOffAfter   = 3500 * time.Millisecond // a keeper that has not heard from the store for this time is replaced
@@ -428,7 +428,6 @@
 			return
 		case <-time.After(reportPeriod):
 		}
-		k.backends.Tidy()
 		k.report(ctx)
 	}
 }
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -12,7 +12,7 @@
 const (
 	tolerated   = 1.1 // load by capacity, relative to the average, up to which a server is left alone
 	noise       = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
-	movesAtOnce = 6   // moves of one round for the sake of balance
+	movesAtOnce = 15  // moves of one round for the sake of balance
 	pieces      = 3   // servers, at most, among which a range of a lost server is divided
 	pieceShare  = 0.3 // load of a server, relative to the average, that is worth a piece of its own
 )
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -17,7 +17,7 @@
 
 const (
 	tendPeriod     = 50 * time.Millisecond  // time between two looks at what is due
-	balancePeriod  = 700 * time.Millisecond // time between two looks at the balance
+	balancePeriod  = 400 * time.Millisecond // time between two looks at the balance
 	goneGrace      = 2200 * time.Millisecond
 	massGone       = 0.3                    // share of a service's owners whose disappearance looks like an outage
 	lostAfter      = 300 * time.Millisecond // silence after which a server's keys are taken away when they can be
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -37,13 +37,43 @@
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	l := &Logger{writer: newWriter(out), stop: make(chan struct{})}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), l.writer, parsed)
+	core := zapcore.Core(plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(encoding), l.writer, parsed)})
 	sampled := zapcore.NewSamplerWithOptions(core, samplePeriod, linesOfAKind, 0, zapcore.SamplerHook(l.sampled))
 	l.Logger = zap.New(sampled)
 	go l.summarize(zap.New(core))
 	return l, nil
 }
 
+// plainErrors writes errors as their text, without the stacks that they carry.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{c.Core.With(plain(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c plainErrors) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (c plainErrors) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(entry, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	for i, field := range fields {
+		if err, ok := field.Interface.(error); ok && field.Type == zapcore.ErrorType {
+			fields[i] = zap.String(field.Key, err.Error())
+		}
+	}
+	return fields
+}
+
 func (l *Logger) sampled(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 	if decision&zapcore.LogDropped != 0 {
 		l.bound.Add(1)
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 	OtherAnswer bool
 	// Unframed answers without length and ends the connection.
 	Unframed bool
+	// CrashOn ends the process when a request's path contains it.
+	CrashOn string
 	// FailAll answers each request that has run with status 500.
 	FailAll bool
 }
@@ -246,6 +249,10 @@
 	}
 	load := fmt.Sprintf("%d,0,%d", s.running, s.options.Slots)
 	s.mu.Unlock()
+	if f.CrashOn != "" && strings.Contains(string(ctx.Path()), f.CrashOn) {
+		s.Crash()
+		return
+	}
 	s.options.Ledger.ran(s, key)
 	time.Sleep(s.options.Work)
 	s.mu.Lock()
