slots: a server's dispatcher is asked before a keyed request goes to it

Change: each server has one daemon that lets requests go to it, as many as it runs at one time and one more; others wait in the order of their ranks while they can be in time and are told at once to stay away when they can't. It is asked by one small message; without an answer in time the request goes unasked.

--- a/internal/daemon/fenced.go
+++ b/internal/daemon/fenced.go
@@ -19,6 +19,7 @@
 	internalplatform "github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/rpc"
+	"github.com/chicorylug/chicorylug/internal/slots"
 	"github.com/chicorylug/chicorylug/internal/spread"
 	"github.com/chicorylug/chicorylug/platform"
 )
@@ -38,6 +39,7 @@
 		backends.New,
 		poison.NewTable,
 		newTelling,
+		slots.New,
 		func() dialect.Dialect { return &platform.Dialect{} },
 		func(c *config.Config, network *netx.Network) internalplatform.Feed {
 			return platform.NewStore(c.PlatformAddress, network.Dial)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -154,7 +154,7 @@
 func (f *Follow) Peers() []string {
 	var peers []string
 	for _, d := range f.Daemons() {
-		if d.Name != f.config.Name && !f.suspected(d.Name) {
+		if d.Name != f.config.Name && !f.Suspected(d.Name) {
 			peers = append(peers, d.Control)
 		}
 	}
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -168,14 +168,16 @@
 	return false
 }
 
-func (f *Follow) suspected(name model.DaemonID) bool {
+// Suspected reports that a daemon did not answer a short time ago.
+func (f *Follow) Suspected(name model.DaemonID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at, ok := f.failed[name]
 	return ok && time.Since(at) < suspectFor
 }
 
-func (f *Follow) suspect(name model.DaemonID) {
+// Suspect notes that a daemon did not answer.
+func (f *Follow) Suspect(name model.DaemonID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed[name] = time.Now()
@@ -185,7 +187,7 @@
 // answers and hears from the store. It reports false when none does.
 func (f *Follow) followPeers(ctx context.Context) bool {
 	for _, d := range f.nearestFirst(f.Candidates()) {
-		if d.Name == f.config.Name || f.suspected(d.Name) {
+		if d.Name == f.config.Name || f.Suspected(d.Name) {
 			continue
 		}
 		if f.followPeer(ctx, d) {
@@ -210,12 +212,12 @@
 	for ctx.Err() == nil {
 		answer, err := f.poll(ctx, d.Control, peerWait)
 		if err != nil {
-			f.suspect(d.Name)
+			f.Suspect(d.Name)
 			f.log.Info("daemon not followed any more", zap.String("peer", string(d.Name)), zap.Error(err))
 			return good
 		}
 		if !answer.OnStore || time.Duration(answer.AgeMS)*time.Millisecond > freshWithin {
-			f.suspect(d.Name)
+			f.Suspect(d.Name)
 			f.log.Info("daemon does not hear from the store", zap.String("peer", string(d.Name)), zap.Int64("age_ms", answer.AgeMS))
 			return good
 		}
@@ -326,12 +328,12 @@
 // does not serve.
 func (f *Follow) catchUp(ctx context.Context) {
 	for _, d := range f.Candidates() {
-		if d.Name == f.config.Name || f.suspected(d.Name) {
+		if d.Name == f.config.Name || f.Suspected(d.Name) {
 			continue
 		}
 		answer, err := f.poll(ctx, d.Control, 0)
 		if err != nil {
-			f.suspect(d.Name)
+			f.Suspect(d.Name)
 			continue
 		}
 		if answer.OnStore {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -14,6 +14,7 @@
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/hop"
 	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/slots"
 )
 
 const (
@@ -38,10 +39,15 @@
 		if time.Until(c.until) < leastTime {
 			return c.final(reason.New(reason.DeadlinePassed, "send", string(server.ID), "no time is left"))
 		}
+		pass, refusal := c.pass(server)
+		if refusal != nil {
+			return c.final(refusal)
+		}
 		result := c.send(server)
+		pass.Done(timeAt(result))
 		if result.Ran == backends.RanYes && !c.worthAnother(result) {
 			c.absolve()
-			c.pass(result.Answer)
+			c.answer(result.Answer)
 			return nil
 		}
 		c.blame(server, result)
@@ -52,7 +58,7 @@
 			zap.Bool("again", again), zap.Error(result.Why))...)
 		if !again {
 			if result.Answer != nil {
-				c.pass(result.Answer)
+				c.answer(result.Answer)
 				return nil
 			}
 			return c.final(refusal)
@@ -123,6 +129,32 @@
 	}
 }
 
+// pass asks for a slot at the owner of the request's key. Other requests need none.
+func (c *call) pass(server *catalog.Server) (*slots.Pass, *reason.Error) {
+	if !c.ownedKey() {
+		return &slots.Pass{}, nil
+	}
+	inTime := c.until
+	if c.route.Goal > 0 {
+		inTime = c.arrived.Add(c.route.Goal - 2*callerWay)
+	}
+	pass, stayAway := c.gateway.slots.Ask(c.context, server, c.route.Rank, inTime, c.until)
+	if pass == nil {
+		refusal := reason.New(reason.QueueFull, "ask", string(server.ID), "no slot in time; the next one is expected in %v", stayAway)
+		refusal.RetryAfter = c.bounded(stayAway)
+		return nil, refusal
+	}
+	return pass, nil
+}
+
+// timeAt is the time that a request ran at its server, or zero.
+func timeAt(result backends.Result) time.Duration {
+	if result.Ran != backends.RanYes {
+		return 0
+	}
+	return result.Took
+}
+
 // owner returns the server that owns the request's key now, unless it has just
 // said under the same fence that it does not.
 func (c *call) owner(now time.Time) *catalog.Server {
@@ -218,8 +250,8 @@
 	}
 }
 
-// pass gives a server's answer to the caller.
-func (c *call) pass(answer *fasthttp.Response) {
+// answer gives a server's answer to the caller.
+func (c *call) answer(answer *fasthttp.Response) {
 	defer fasthttp.ReleaseResponse(answer)
 	body := answer.Body()
 	answer.Header.CopyTo(&c.ctx.Response.Header)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/poison"
+	"github.com/chicorylug/chicorylug/internal/slots"
 )
 
 // ServiceName is the gateway's name in the kernel.
@@ -43,6 +44,7 @@
 	catalog  *catalog.Catalog
 	backends *backends.Backends
 	poison   *poison.Table
+	slots    *slots.Slots
 	watch    *callwatch.Watch
 	weights  *weights
 	log      *zap.Logger
@@ -69,6 +71,7 @@
 	cat *catalog.Catalog,
 	b *backends.Backends,
 	p *poison.Table,
+	sl *slots.Slots,
 	registry *metrics.Registry,
 	log *zap.Logger,
 ) *Gateway {
@@ -79,6 +82,7 @@
 		catalog:   cat,
 		backends:  b,
 		poison:    p,
+		slots:     sl,
 		watch:     callwatch.New(),
 		weights:   newWeights(),
 		log:       log.Named(string(ServiceName)),
@@ -143,6 +147,7 @@
 		case <-time.After(tidyPeriod):
 		}
 		g.backends.Tidy()
+		g.slots.Tidy(g.catalog.Load().Servers)
 		g.poison.Expire(time.Now())
 	}
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -245,16 +245,22 @@
 	againLater = 400 * time.Millisecond // capacity is short, or the daemon has just started
 )
 
-// comeBack is the advised pause: at most a third of the time that is left.
+// comeBack is the advised pause.
 func (c *call) comeBack(code reason.Code) time.Duration {
 	pause := againLater
 	if code == reason.NoOwner || code == reason.ServerUnreachable || code == reason.WrongEpoch {
 		pause = againSoon
 	}
+	return c.bounded(pause)
+}
+
+// bounded makes a pause one that the caller can make: at most a third of the
+// time that is left.
+func (c *call) bounded(pause time.Duration) time.Duration {
 	if left := time.Until(c.until); !c.until.IsZero() && left/3 < pause {
-		pause = max(left/3, time.Millisecond)
+		pause = left / 3
 	}
-	return pause
+	return max(pause, time.Millisecond)
 }
 
 // statusOf returns the status of a refusal. Only what surely did not run is
