keeper: a key moves once in a round; a server busy with one key does not stop the balance

Property tests found two more: a key could move from A to B and on to C in the same round, so that B and C were granted it under one fence; the first division ran over the last key when all load lies there. Change: a server that can't be relieved is left out and the others are balanced among themselves; one move a server instead of 15 a round; a range that moves in a round does not move again; each server gets a key in the first division. Tests failed first: TestOneBusyKeyDoesNotStopTheBalance, TestBalanceKeepsEachKeyOnceAndMovesEachAtMostOnce, TestDivisionGivesEachKeyOneOwner.

--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -10,11 +11,10 @@
 
 // Bounds of the balance.
 const (
-	tolerated   = 1.1 // load by capacity, relative to the average, up to which a server is left alone
-	noise       = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
-	movesAtOnce = 15  // moves of one round for the sake of balance
-	pieces      = 3   // servers, at most, among which a range of a lost server is divided
-	pieceShare  = 0.3 // load of a server, relative to the average, that is worth a piece of its own
+	tolerated  = 1.1 // load by capacity, relative to the average, up to which a server is left alone
+	noise      = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
+	pieces     = 3   // servers, at most, among which a range of a lost server is divided
+	pieceShare = 0.3 // load of a server, relative to the average, that is worth a piece of its own
 )
 
 // Move takes a run of keys from one server to another.
@@ -81,7 +81,8 @@
 		due += all * l.capacity(s) / total
 		to := from
 		passed += l.key(to)
-		for to < catalog.LastKey && passed+l.key(to+1) <= due {
+		last := catalog.LastKey - (len(sorted) - 1 - i) // each of the others gets a key
+		for to < last && passed+l.key(to+1) <= due {
 			to++
 			passed += l.key(to)
 		}
@@ -101,10 +102,13 @@
 	if len(p.carriers) == 0 {
 		return
 	}
-	usual := p.total() / float64(len(p.carriers))
-	parts := min(pieces, len(p.carriers), 1+int(p.load.of(r.From, r.To)/(pieceShare*usual)))
+	usual := 0.0
+	for _, c := range p.carriers {
+		usual += c.load / float64(len(p.carriers))
+	}
+	parts := min(pieces, len(p.carriers), 1+int(p.load.of(r.From, r.To)/(pieceShare*max(usual, 1))))
 	for part := parts; part > 0; part-- {
-		target := p.leastUsed()
+		target := leastUsed(p.carriers)
 		if target == nil {
 			return
 		}
@@ -134,39 +138,31 @@
 	return to
 }
 
-func (p *planner) leastUsed() *carrier {
-	var best *carrier
-	for _, c := range p.carriers {
-		if best == nil || c.used() < best.used() {
-			best = c
-		}
-	}
-	return best
-}
-
 // balance moves keys from the servers that have too many requests for their
-// speed. movable says whether keys may leave a server now.
+// speed, one move a server at most in one round. movable says whether keys may leave a server now.
 func (p *planner) balance(movable func(model.ServerID) bool) {
-	for range movesAtOnce {
-		source := p.mostUsed(movable)
-		target := p.leastUsed()
-		if source == nil || target == nil || source == target {
-			return
-		}
-		average := p.average()
-		if source.used() < average*source.tolerance() {
+	open := p.carriers
+	for range p.carriers {
+		average := averageUse(open)
+		source := mostUsed(open, movable)
+		target := leastUsed(open)
+		if source == nil || source == target || source.used() < average*source.tolerance() {
 			return
 		}
 		wanted := min(source.load-average*source.capacity, average*target.capacity-target.load)
-		if wanted <= 0 || !p.shift(source, target, wanted) {
+		if wanted <= 0 {
 			return
 		}
+		if !p.shift(source, target, wanted) {
+			// It is busy with a key that can't be divided: the others are balanced without it.
+			open = slices.DeleteFunc(slices.Clone(open), func(c *carrier) bool { return c == source })
+		}
 	}
 }
 
-func (p *planner) mostUsed(movable func(model.ServerID) bool) *carrier {
+func mostUsed(carriers []*carrier, movable func(model.ServerID) bool) *carrier {
 	var worst *carrier
-	for _, c := range p.carriers {
+	for _, c := range carriers {
 		if movable(c.server.ID) && (worst == nil || c.used() > worst.used()) {
 			worst = c
 		}
@@ -174,22 +170,24 @@
 	return worst
 }
 
-// average is the load by capacity over all servers.
-func (p *planner) average() float64 {
-	capacity := 0.0
-	for _, c := range p.carriers {
-		capacity += c.capacity
+func leastUsed(carriers []*carrier) *carrier {
+	var best *carrier
+	for _, c := range carriers {
+		if best == nil || c.used() < best.used() {
+			best = c
+		}
 	}
-	return p.total() / capacity
+	return best
 }
 
-// total is the load of all servers.
-func (p *planner) total() float64 {
-	load := 0.0
-	for _, c := range p.carriers {
+// averageUse is the load by capacity over servers.
+func averageUse(carriers []*carrier) float64 {
+	load, capacity := 0.0, 0.0
+	for _, c := range carriers {
 		load += c.load
+		capacity += c.capacity
 	}
-	return max(load, 1)
+	return max(load, 1) / capacity
 }
 
 // shift moves about the wanted load from the end of one of the source's ranges,
@@ -197,7 +195,7 @@
 func (p *planner) shift(source, target *carrier, wanted float64) bool {
 	best, bestFrom, bestTo, bestLoad, borders := -1, 0, 0, 0.0, false
 	for i, r := range p.ranges {
-		if r.Server != source.server.ID {
+		if r.Server != source.server.ID || r.Fence == movedNow {
 			continue
 		}
 		for _, upper := range []bool{false, true} {
@@ -248,9 +246,12 @@
 	return i > 0 && p.ranges[i-1].Server == id
 }
 
+// movedNow marks a range that moves in this round: it does not move again.
+const movedNow catalog.Fence = 0
+
 // take changes the planner's copy of a range.
 func (p *planner) take(i, from, to int, target *catalog.Server) {
-	p.ranges = assign(p.ranges, from, to, target, 0)
+	p.ranges = assign(p.ranges, from, to, target, movedNow)
 }
 
 func (p *planner) add(m Move) { p.moves = append(p.moves, m) }
--- /dev/null
+++ b/internal/keeper/plan_test.go
@@ -0,0 +1,157 @@
+package keeper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylug/chicorylug/internal/backends"
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+func server(i, slots int) *catalog.Server {
+	return &catalog.Server{ID: model.ServerID(fmt.Sprintf("s%02d", i)), Slots: slots, Born: int64(i)}
+}
+
+func always(model.ServerID) bool { return true }
+
+// covered checks that ranges hold each key once.
+func covered(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, ranges []catalog.Range) {
+	t.Helper()
+	next := 0
+	for _, r := range ranges {
+		if r.From != next || r.To < r.From {
+			t.Fatalf("range %d to %d follows key %d", r.From, r.To, next-1)
+		}
+		next = r.To + 1
+	}
+	if next != catalog.LastKey+1 {
+		t.Fatalf("the last range ends at %d", next-1)
+	}
+}
+
+func drawLoad(t *rapid.T) *load {
+	l := newLoad(time.Now())
+	stats := &backends.KeyedStats{Keys: map[int]int{}}
+	for range rapid.IntRange(0, 60).Draw(t, "keys") {
+		stats.Keys[rapid.IntRange(0, catalog.LastKey).Draw(t, "key")] += rapid.IntRange(1, 200).Draw(t, "count")
+	}
+	l.add(stats)
+	return l
+}
+
+func drawServers(t *rapid.T) []*catalog.Server {
+	servers := make([]*catalog.Server, rapid.IntRange(1, 12).Draw(t, "servers"))
+	for i := range servers {
+		servers[i] = server(i, rapid.IntRange(1, 8).Draw(t, "slots"))
+	}
+	return servers
+}
+
+func TestDivisionGivesEachKeyOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		covered(t, divide(drawLoad(t), drawServers(t)))
+	})
+}
+
+// fenced gives ranges the fence of a first division.
+func fenced(ranges []catalog.Range) []catalog.Range {
+	for i := range ranges {
+		ranges[i].Fence = 1
+	}
+	return ranges
+}
+
+func applied(ranges []catalog.Range, moves []Move) []catalog.Range {
+	for _, m := range moves {
+		ranges = assign(ranges, m.From, m.To, m.Target, 9)
+	}
+	return merge(ranges, 9)
+}
+
+func TestBalanceKeepsEachKeyOnceAndMovesEachAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := drawServers(t)
+		ranges := fenced(divide(newLoad(time.Now()), servers))
+		p := newPlanner(drawLoad(t), ranges, servers)
+		p.balance(always)
+		for i, m := range p.moves {
+			must.NotEq(t, m.Source, m.Target.ID)
+			for _, other := range p.moves[:i] {
+				must.True(t, m.To < other.From || other.To < m.From)
+			}
+			owner := (&catalog.Owners{Ranges: ranges}).Owner(m.From)
+			must.Eq(t, m.Source, owner.Server)
+		}
+		covered(t, applied(ranges, p.moves))
+	})
+}
+
+func TestRehomedKeysStayCovered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := drawServers(t)
+		if len(servers) == 1 {
+			return
+		}
+		l := drawLoad(t)
+		ranges := divide(l, servers)
+		p := newPlanner(l, ranges, servers[1:])
+		for _, r := range ranges {
+			if r.Server == servers[0].ID {
+				p.rehome(r, "")
+			}
+		}
+		after := applied(ranges, p.moves)
+		covered(t, after)
+		for _, r := range after {
+			must.NotEq(t, servers[0].ID, r.Server)
+		}
+	})
+}
+
+// One key that is busier than a server must not keep the others from being balanced.
+func TestOneBusyKeyDoesNotStopTheBalance(t *testing.T) {
+	servers := []*catalog.Server{server(0, 3), server(1, 3), server(2, 3), server(3, 3)}
+	l := newLoad(time.Now())
+	stats := &backends.KeyedStats{Keys: map[int]int{100: 4000}}
+	for key := 20000; key < 30000; key += 10 {
+		stats.Keys[key] = 3
+	}
+	l.add(stats)
+	ranges := fenced(divide(newLoad(time.Now()), servers))
+	for range 20 {
+		p := newPlanner(l, ranges, servers)
+		p.balance(always)
+		ranges = applied(ranges, p.moves)
+	}
+	p := newPlanner(l, ranges, servers)
+	busiest := 0.0
+	for _, c := range p.carriers {
+		if (&catalog.Owners{Ranges: ranges}).Owner(100).Server != c.server.ID {
+			busiest = max(busiest, c.load)
+		}
+	}
+	must.Less(t, 1.3*(l.total-4000)/3, busiest)
+}
+
+func TestLoadSurvivesItsPoints(t *testing.T) {
+	l := newLoad(time.Now())
+	l.add(&backends.KeyedStats{Keys: map[int]int{10: 500, 40000: 500}})
+	restored := newLoad(time.Now())
+	restored.restore(l.points())
+	must.Between(t, 0.4, restored.of(0, 100)/restored.of(0, catalog.LastKey), 0.6)
+}
+
+func TestRangesWithoutOthers(t *testing.T) {
+	whole := catalog.Range{From: 0, To: 99, Server: "a"}
+	left := without(whole, []catalog.Range{{From: 10, To: 19}, {From: 90, To: 120}})
+	must.Eq(t, []catalog.Range{{From: 0, To: 9, Server: "a"}, {From: 20, To: 89, Server: "a"}}, left)
+	must.SliceEmpty(t, without(whole, []catalog.Range{{From: 0, To: 200}}))
+}
