Strong machines carry more: followers, keepers and dispatchers by cores; busy keys go to faster servers

Change: daemons announce their cores; the strongest of each zone follows the store and keeps keys, dispatchers are drawn by weight; a ticket ends after four service times; a server busy with one key passes it to a clearly faster one; releases from one server are bounded.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,9 @@
 	MetricsAddress   string `json:"metrics_address,omitempty"`
 	// MemoryMB is what the process may use, in megabytes.
 	MemoryMB int `json:"memory_mb"`
+	// Cores is the part of the machine's processor, in cores, that the process
+	// may use. Daemons with more take on more of the fleet's work.
+	Cores float64 `json:"cores"`
 	// GraceSeconds is the time after SIGTERM at which the process is killed.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// RepeatShare bounds the repeated sends to a service as a share of the first
@@ -264,6 +267,9 @@
 	if f.MemoryMB < 1 {
 		add("fenced.memory_mb", "found %d, want 1 or more", f.MemoryMB)
 	}
+	if f.Cores <= 0 {
+		add("fenced.cores", "found %v, want more than 0", f.Cores)
+	}
 	if f.GraceSeconds < 1 {
 		add("fenced.grace_seconds", "found %v, want 1 or more", f.GraceSeconds)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,7 @@
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 )
@@ -41,6 +42,13 @@
 	Life    model.Incarnation `json:"life"`
 	Zone    model.Zone        `json:"zone"`
 	Control string            `json:"control"` // ip:port for calls of other daemons
+	// Cores is the processor that the daemon may use.
+	Cores float64 `json:"cores"`
+}
+
+// Points ranks a daemon for a task among others; more cores make more points likely.
+func (d Daemon) Points(task string) float64 {
+	return placement.Weighted(task, string(d.Name), d.Cores)
 }
 
 // Follow keeps the copies and publishes them to the catalog.
@@ -134,7 +142,7 @@
 
 // Self returns this daemon's record.
 func (f *Follow) Self() Daemon {
-	return Daemon{Name: f.config.Name, Life: f.life, Zone: f.config.Zone, Control: f.config.ControlAddress}
+	return Daemon{Name: f.config.Name, Life: f.life, Zone: f.config.Zone, Control: f.config.ControlAddress, Cores: f.config.Fenced.Cores}
 }
 
 // Daemons returns the known daemons, this one included.
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 )
@@ -128,13 +127,15 @@
 	return err
 }
 
-// ranked returns the daemons in the order in which they follow the store.
+// ranked returns the daemons in the order in which they follow the store: those
+// with the most cores first.
 func (f *Follow) ranked() []Daemon {
 	daemons := f.Daemons()
 	sort.Slice(daemons, func(i, j int) bool {
-		a := placement.Score(string(ServiceName), string(daemons[i].Name))
-		b := placement.Score(string(ServiceName), string(daemons[j].Name))
-		return a > b
+		if daemons[i].Cores != daemons[j].Cores {
+			return daemons[i].Cores > daemons[j].Cores
+		}
+		return daemons[i].Points(string(ServiceName)) > daemons[j].Points(string(ServiceName))
 	})
 	return daemons
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -138,7 +138,7 @@
 	if c.route.Goal > 0 {
 		inTime = c.arrived.Add(c.route.Goal - 2*callerWay)
 	}
-	pass, stayAway := c.gateway.slots.Ask(c.context, server, c.route.Rank, inTime, c.until)
+	pass, stayAway := c.gateway.slots.Ask(c.context, server, c.route.Rank, inTime)
 	if pass == nil {
 		refusal := reason.New(reason.QueueFull, "ask", string(server.ID), "no slot in time; the next one is expected in %v", stayAway)
 		refusal.RetryAfter = c.bounded(stayAway)
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,7 +15,7 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 )
 
-const callConnections = 32 // connections for calls to one server
+const callConnections = 2 * releasesAtOnce // connections for calls to one server
 
 // errEnded says that no process listens at the server's address: it holds nothing.
 var errEnded = errors.New("keeper: the server's process has ended")
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -15,6 +15,7 @@
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 900 * time.Millisecond
 	clockSlack     = 0.02
+	releasesAtOnce = 6 // from one server
 	callSlack      = 100 * time.Millisecond
 )
 
@@ -27,8 +28,10 @@
 type holder struct {
 	server *catalog.Server
 	caller *caller
-	calls  int       // grants that are under way
-	nextAt time.Time // of the next renewal
+	// releases bounds the releases that are under way, each on a connection.
+	releases chan struct{}
+	calls    int       // grants that are under way
+	nextAt   time.Time // of the next renewal
 	// heldUntil is the moment by which every grant that the server may have got
 	// has run out.
 	heldUntil time.Time
@@ -43,6 +46,10 @@
 	silent    time.Time // since when the server takes no grants; zero while it does
 }
 
+func newHolder(c *caller, heldUntil time.Time) *holder {
+	return &holder{server: c.server, caller: c, releases: make(chan struct{}, releasesAtOnce), heldUntil: heldUntil}
+}
+
 // sent notes the sending of a grant.
 func (h *holder) sent(at time.Time) {
 	if until := at.Add(runOut()); until.After(h.heldUntil) {
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -13,6 +13,8 @@
 const (
 	tolerated  = 1.1 // load by capacity, relative to the average, up to which a server is left alone
 	noise      = 1.5 // what is tolerated beside, in standard deviations of the server's count of requests
+	soloShare  = 0.5 // share of a server's load from which on one key is its burden
+	fasterBy   = 1.2 // capacity, relative to its owner's, of a server to which such a key moves
 	pieces     = 3   // servers, at most, among which a range of a lost server is divided
 	pieceShare = 0.3 // load of a server, relative to the average, that is worth a piece of its own
 )
@@ -155,9 +157,54 @@
 		}
 		if !p.shift(source, target, wanted) {
 			// It is busy with a key that can't be divided: the others are balanced without it.
-			open = slices.DeleteFunc(slices.Clone(open), func(c *carrier) bool { return c == source })
+			faster := p.relocate(source, open)
+			open = slices.DeleteFunc(slices.Clone(open), func(c *carrier) bool { return c == source || c == faster })
+		}
+		if len(open) == 0 {
+			return
+		}
+	}
+}
+
+// relocate moves the busiest key of a server to one that is clearly faster and
+// has no such key itself. It returns that server, or nil.
+func (p *planner) relocate(source *carrier, open []*carrier) *carrier {
+	key, load := p.busiestKey(source)
+	if load < soloShare*source.load {
+		return nil
+	}
+	var best *carrier
+	for _, c := range open {
+		if c.capacity < fasterBy*source.capacity || (best != nil && c.capacity <= best.capacity) {
+			continue
+		}
+		if _, other := p.busiestKey(c); other < soloShare*load {
+			best = c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	p.take(key, key, best.server)
+	p.add(Move{From: key, To: key, Source: source.server.ID, Target: best.server})
+	source.load -= load
+	best.load += load
+	return best
+}
+
+// busiestKey returns the busiest key of a server that may move in this round.
+func (p *planner) busiestKey(c *carrier) (key int, load float64) {
+	for _, r := range p.ranges {
+		if r.Server != c.server.ID || r.Fence == movedNow {
+			continue
+		}
+		for k := r.From; k <= r.To; k++ {
+			if l := p.load.key(k); l > load {
+				key, load = k, l
+			}
 		}
 	}
+	return key, load
 }
 
 func mostUsed(carriers []*carrier, movable func(model.ServerID) bool) *carrier {
@@ -213,7 +260,7 @@
 	if best < 0 {
 		return false
 	}
-	p.take(best, bestFrom, bestTo, target.server)
+	p.take(bestFrom, bestTo, target.server)
 	p.add(Move{From: bestFrom, To: bestTo, Source: source.server.ID, Target: target.server})
 	source.load -= bestLoad
 	target.load += bestLoad
@@ -249,8 +296,8 @@
 // movedNow marks a range that moves in this round: it does not move again.
 const movedNow catalog.Fence = 0
 
-// take changes the planner's copy of a range.
-func (p *planner) take(i, from, to int, target *catalog.Server) {
+// take changes the planner's copy of the ranges.
+func (p *planner) take(from, to int, target *catalog.Server) {
 	p.ranges = assign(p.ranges, from, to, target, movedNow)
 }
 
--- a/internal/keeper/plan_test.go
+++ b/internal/keeper/plan_test.go
@@ -141,6 +141,23 @@
 	must.Less(t, 1.3*(l.total-4000)/3, busiest)
 }
 
+// A key that is too busy for its server goes to a faster one.
+func TestABusyKeyGoesToAFasterServer(t *testing.T) {
+	servers := []*catalog.Server{server(0, 2), server(1, 3), server(2, 6), server(3, 3)}
+	l := newLoad(time.Now())
+	l.add(&backends.KeyedStats{Keys: map[int]int{100: 4000, 30000: 300, 50000: 300}})
+	ranges := fenced(divide(newLoad(time.Now()), servers))
+	for range 20 {
+		p := newPlanner(l, ranges, servers)
+		p.balance(always)
+		ranges = fenced(applied(ranges, p.moves))
+	}
+	must.Eq(t, servers[2].ID, (&catalog.Owners{Ranges: ranges}).Owner(100).Server)
+	p := newPlanner(l, ranges, servers)
+	p.balance(always)
+	must.SliceEmpty(t, p.moves)
+}
+
 func TestLoadSurvivesItsPoints(t *testing.T) {
 	l := newLoad(time.Now())
 	l.add(&backends.KeyedStats{Keys: map[int]int{10: 500, 40000: 500}})
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -146,7 +146,7 @@
 			if server == nil || server.Born != r.Born {
 				continue
 			}
-			h = &holder{server: server, caller: newCaller(t.keeper.dialect, t.keeper.network, server), heldUntil: t.othersUntil}
+			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), t.othersUntil)
 			t.holders[r.Server] = h
 		}
 		if h.calls > 0 || now.Before(h.nextAt) {
@@ -490,6 +490,8 @@
 	if h == nil {
 		return nil
 	}
+	h.releases <- struct{}{}
+	defer func() { <-h.releases }()
 	for range releaseRetries {
 		t.mu.Lock()
 		fence := t.fenceOf(m.From)
@@ -591,7 +593,7 @@
 			if server == nil || !server.SameLife(m.Target) {
 				continue
 			}
-			h = &holder{server: server, caller: newCaller(t.keeper.dialect, t.keeper.network, server)}
+			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), time.Time{})
 			t.holders[m.Target.ID] = h
 		}
 		run := catalog.Range{From: m.From, To: m.To, Fence: t.fenceOf(m.From)}
--- a/internal/slots/book.go
+++ b/internal/slots/book.go
@@ -9,7 +9,8 @@
 	ahead         = 1                      // requests at a server beyond its slots, so that none stands idle between two
 	serviceWeight = 0.1                    // share of a new sample in the average service time
 	firstService  = 80 * time.Millisecond  // service time before the first sample
-	lostAfter     = 300 * time.Millisecond // time after its deadline at which a request counts as ended
+	lostAfter     = 100 * time.Millisecond // a request whose end is not reported counts as ended after
+	lostServices  = 4                      // so many service times and this time
 	headroom      = 1.3                    // expected service times that must be left of the goal
 )
 
@@ -24,11 +25,9 @@
 
 // want is a request that asks for a slot.
 type want struct {
-	slots int
-	rank  int
-	// inTime is the moment by which its answer is worth most; until the one by
-	// which it must have any.
-	inTime, until time.Time
+	slots  int
+	rank   int
+	inTime time.Time // the moment by which its answer is worth most
 }
 
 type waiter struct {
@@ -54,8 +53,9 @@
 // ask lets the request go, lets it wait, or returns how long it should stay away.
 func (b *book) ask(w want, now time.Time) (ticket uint64, queued *waiter, stayAway time.Duration) {
 	b.expire(now)
+	b.next(now)
 	if b.free(w.slots) && len(b.waiting) == 0 {
-		return b.grant(w), nil, 0
+		return b.grant(now), nil, 0
 	}
 	expected := b.expected(w)
 	if now.Add(expected).After(b.latest(w)) {
@@ -83,9 +83,9 @@
 	return w.inTime.Add(-time.Duration(headroom * float64(b.service)))
 }
 
-func (b *book) grant(w want) uint64 {
+func (b *book) grant(now time.Time) uint64 {
 	b.last++
-	b.tickets[b.last] = w.until.Add(lostAfter)
+	b.tickets[b.last] = now.Add(lostServices*b.service + lostAfter)
 	return b.last
 }
 
@@ -96,15 +96,15 @@
 	}
 	delete(b.tickets, ticket)
 	b.expire(now)
-	b.next()
+	b.next(now)
 }
 
 // next lets waiting requests go while slots are free.
-func (b *book) next() {
+func (b *book) next(now time.Time) {
 	for len(b.waiting) > 0 && b.free(b.waiting[0].slots) {
 		first := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		first.granted <- b.grant(first.want)
+		first.granted <- b.grant(now)
 	}
 }
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -10,7 +10,6 @@
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 )
 
@@ -28,9 +27,8 @@
 	Server model.ServerID `json:"server"`
 	Slots  int            `json:"slots"`
 	Rank   int            `json:"rank"`
-	// InTimeMS and UntilMS are the times left to the goal and to the deadline.
+	// InTimeMS is the time left to the goal.
 	InTimeMS int64 `json:"in_time_ms"`
-	UntilMS  int64 `json:"until_ms"`
 }
 
 type askAnswer struct {
@@ -74,14 +72,14 @@
 }
 
 // Ask asks for a slot. It returns a pass, or how long the request should stay away.
-func (s *Slots) Ask(ctx context.Context, server *catalog.Server, rank int, inTime, until time.Time) (*Pass, time.Duration) {
+func (s *Slots) Ask(ctx context.Context, server *catalog.Server, rank int, inTime time.Time) (*Pass, time.Duration) {
 	d, known := s.dispatcher(server)
 	if !known {
 		return &Pass{}, 0
 	}
 	request := &askRequest{
 		Server: server.ID, Slots: server.Slots, Rank: rank,
-		InTimeMS: time.Until(inTime).Milliseconds(), UntilMS: time.Until(until).Milliseconds(),
+		InTimeMS: time.Until(inTime).Milliseconds(),
 	}
 	answer, err := s.ask(ctx, d, request)
 	if err != nil {
@@ -130,14 +128,14 @@
 // dispatcher returns the daemon that is asked for a server: of its zone where there is one.
 func (s *Slots) dispatcher(server *catalog.Server) (follow.Daemon, bool) {
 	var best follow.Daemon
-	var score uint64
+	score := 0.0
 	found, near := false, false
 	for _, d := range s.follow.Daemons() {
 		if s.follow.Suspected(d.Name) {
 			continue
 		}
 		in := d.Zone == server.Zone
-		points := placement.Score(string(server.ID), string(d.Name))
+		points := d.Points(string(server.ID))
 		if !found || (in && !near) || (in == near && points > score) {
 			best, score, found, near = d, points, true, in
 		}
@@ -150,7 +148,6 @@
 	w := want{
 		slots: max(r.Slots, 1), rank: r.Rank,
 		inTime: now.Add(time.Duration(r.InTimeMS) * time.Millisecond),
-		until:  now.Add(time.Duration(r.UntilMS) * time.Millisecond),
 	}
 	s.mu.Lock()
 	b := s.books[r.Server]
