--- /dev/null
+++ b/internal/gateway/weights_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"math"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// Over any run of requests each service gets its share, give or take two.
+func TestSharesHoldOverShortRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		route := &catalog.Route{Name: "r"}
+		total := 0
+		for i := range rapid.IntRange(2, 4).Draw(t, "services") {
+			weight := rapid.IntRange(1, 100).Draw(t, "weight")
+			route.Backends = append(route.Backends, catalog.WeightedService{Service: model.PoolName(rune('a' + i)), Weight: weight})
+			total += weight
+		}
+		w := newWeights()
+		for range rapid.IntRange(0, 50).Draw(t, "before") {
+			w.next(route)
+		}
+		run := rapid.IntRange(1, 300).Draw(t, "run")
+		counts := map[model.PoolName]int{}
+		for range run {
+			counts[w.next(route)]++
+		}
+		for _, b := range route.Backends {
+			wanted := float64(run) * float64(b.Weight) / float64(total)
+			must.LessEq(t, float64(len(route.Backends)), math.Abs(wanted-float64(counts[b.Service])))
+		}
+	})
+}
+
+func TestAServiceOfWeightZeroGetsNothing(t *testing.T) {
+	route := &catalog.Route{Name: "r", Backends: []catalog.WeightedService{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}}
+	w := newWeights()
+	for range 100 {
+		must.Eq(t, "b", string(w.next(route)))
+	}
+}
--- /dev/null
+++ b/internal/keeper/due.go
@@ -0,0 +1,115 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+// plan returns the moves that are due.
+func (t *tender) plan(now time.Time) []Move {
+	snapshot := t.keeper.catalog.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	able := t.able(snapshot, now)
+	if len(able) == 0 {
+		return nil
+	}
+	if len(t.owners.Ranges) == 0 {
+		p := newPlanner(t.load, nil, able)
+		for _, r := range divide(t.load, able) {
+			p.add(Move{From: r.From, To: r.To, Target: snapshot.Servers[r.Server]})
+		}
+		return p.moves
+	}
+	p := newPlanner(t.load, t.owners.Ranges, able)
+	mass := t.massGone(snapshot)
+	for _, r := range t.owners.Ranges {
+		t.planRange(p, snapshot, r, mass, now)
+	}
+	if len(p.moves) > 0 || now.Sub(t.balancedAt) < balancePeriod || t.load.counted < leastRequests {
+		return p.moves
+	}
+	t.balancedAt = now
+	t.load.fade(now)
+	p = newPlanner(t.load, t.owners.Ranges, able)
+	p.balance(func(id model.ServerID) bool {
+		h := t.holders[id]
+		return h != nil && !h.lost() && now.After(h.doubtUntil)
+	})
+	return p.moves
+}
+
+// able returns the servers that may get keys. It runs under the lock.
+func (t *tender) able(snapshot *catalog.Snapshot, now time.Time) []*catalog.Server {
+	var able []*catalog.Server
+	for _, server := range snapshot.ByService[t.service] {
+		h := t.holders[server.ID]
+		if server.Leaving || (h != nil && h.server.SameLife(server) && h.lost()) {
+			continue
+		}
+		able = append(able, server)
+	}
+	return able
+}
+
+// massGone reports that so many owners are missing that an outage of the store
+// is the likely cause. It runs under the lock.
+func (t *tender) massGone(snapshot *catalog.Snapshot) bool {
+	owning := map[model.ServerID]bool{}
+	gone := 0
+	for _, r := range t.owners.Ranges {
+		if owning[r.Server] {
+			continue
+		}
+		owning[r.Server] = true
+		if server := snapshot.Servers[r.Server]; server == nil || server.Gone {
+			gone++
+		}
+	}
+	return float64(gone) > massGone*float64(len(owning)) && gone > 1
+}
+
+// planRange plans to take a range from a server that may not keep it. It runs
+// under the lock.
+func (t *tender) planRange(p *planner, snapshot *catalog.Snapshot, r catalog.Range, mass bool, now time.Time) {
+	server := snapshot.Servers[r.Server]
+	h := t.holders[r.Server]
+	if h != nil && h.server.Born != r.Born {
+		h = nil
+	}
+	switch {
+	case server != nil && server.Born != r.Born:
+		p.rehome(r, "") // a new life under the same id holds nothing
+	case h != nil && h.broken && h.reachable && server != nil && !server.Leaving:
+		p.add(Move{From: r.From, To: r.To, Target: server})
+	case server == nil && h == nil:
+		if now.After(t.othersUntil) {
+			p.rehome(r, "")
+		}
+	case h == nil:
+	case h.free(now) && h.lost():
+		p.rehome(r, "")
+	case h.lost():
+	case server == nil || server.Leaving:
+		if mass && (server == nil || server.Gone) && t.youngGone(r.Server, now) {
+			return
+		}
+		if now.After(h.doubtUntil) {
+			p.rehome(r, r.Server)
+		}
+	default:
+		delete(t.goneAt, r.Server)
+	}
+}
+
+// youngGone reports that a server has been missing for a short time only.
+func (t *tender) youngGone(id model.ServerID, now time.Time) bool {
+	since, known := t.goneAt[id]
+	if !known {
+		t.goneAt[id] = now
+		return true
+	}
+	return now.Sub(since) < goneGrace
+}
--- /dev/null
+++ b/internal/keeper/renew.go
@@ -0,0 +1,183 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+)
+
+// renewLoop renews the grants that are due.
+func (t *tender) renewLoop() {
+	defer t.done.Done()
+	pauses := newClock()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-time.After(tendPeriod):
+		}
+		if pause := pauses.lap(); pause > standStill {
+			t.depose("the process stood still", zap.Duration("for", pause))
+			return
+		}
+		now := time.Now()
+		if t.keeper.follow.StoreAge() < storeFresh {
+			t.mu.Lock()
+			t.confirmed = now
+			t.mu.Unlock()
+		}
+		t.renewDue(now)
+	}
+}
+
+func (t *tender) renewDue(now time.Time) {
+	snapshot := t.keeper.catalog.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.confirmed) > outageTending {
+		t.deposed = true
+		t.cancel()
+		t.log.Warn("keys not kept any more", zap.String("why", "no word from the store"), zap.Duration("for", now.Sub(t.confirmed)))
+		return
+	}
+	for _, r := range t.owners.Ranges {
+		server := snapshot.Servers[r.Server]
+		h := t.holders[r.Server]
+		if h == nil || h.server.Born != r.Born {
+			if server == nil || server.Born != r.Born {
+				continue
+			}
+			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), t.othersUntil)
+			t.holders[r.Server] = h
+		}
+		if h.calls > 0 || now.Before(h.nextAt) {
+			continue
+		}
+		h.calls++
+		t.done.Add(1)
+		go t.renew(h)
+	}
+}
+
+// grantsOf returns the runs of a server that may be granted now. It runs under the lock.
+func (t *tender) grantsOf(h *holder) []catalog.Range {
+	var runs []catalog.Range
+	for _, r := range t.owners.Ranges {
+		if r.Server == h.server.ID && r.Born == h.server.Born {
+			runs = append(runs, without(r, t.moving)...)
+		}
+	}
+	return runs
+}
+
+// without returns what is left of a range when others are taken out.
+func without(r catalog.Range, out []catalog.Range) []catalog.Range {
+	left := []catalog.Range{r}
+	for _, o := range out {
+		var next []catalog.Range
+		for _, l := range left {
+			if o.To < l.From || o.From > l.To {
+				next = append(next, l)
+				continue
+			}
+			if o.From > l.From {
+				below := l
+				below.To = o.From - 1
+				next = append(next, below)
+			}
+			if o.To < l.To {
+				above := l
+				above.From = o.To + 1
+				next = append(next, above)
+			}
+		}
+		left = next
+	}
+	return left
+}
+
+// renew grants all that a server owns. After a failure it only looks whether
+// something listens at the address.
+func (t *tender) renew(h *holder) {
+	defer t.done.Done()
+	t.mu.Lock()
+	runs := t.grantsOf(h)
+	broken := h.broken
+	t.mu.Unlock()
+	if broken {
+		err := h.caller.reach()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		h.calls--
+		h.nextAt = time.Now().Add(retryPeriod)
+		h.reachable = err == nil
+		h.ended = h.ended || errors.Is(err, errEnded)
+		return
+	}
+	var failure error
+	for _, r := range runs {
+		if failure = t.grant(h, r, ""); failure != nil {
+			break
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h.calls--
+	h.nextAt = time.Now().Add(renewPeriod)
+	if failure != nil {
+		t.failed(h, failure)
+	}
+}
+
+// failed notes that a server did not take a grant. It runs under the lock.
+func (t *tender) failed(h *holder, failure error) {
+	h.nextAt = time.Now().Add(retryPeriod)
+	h.broken, h.reachable = true, false
+	h.ended = h.ended || errors.Is(failure, errEnded)
+	if h.silent.IsZero() {
+		h.silent = time.Now()
+		t.log.Warn("server does not take its keys", zap.String("server", string(h.server.ID)),
+			zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
+	}
+}
+
+// mend lets a server be granted keys again, under the new fences that it got.
+// It runs under the lock.
+func (t *tender) mend(h *holder) {
+	if h.broken {
+		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
+	}
+	h.broken, h.reachable, h.ended, h.silent = false, false, false, time.Time{}
+}
+
+// grant gives one run to a server.
+func (t *tender) grant(h *holder, r catalog.Range, state string) error {
+	if t.ctx.Err() != nil {
+		return t.ctx.Err()
+	}
+	began := time.Now()
+	outcome, result := h.caller.grant(t.ctx, dialect.Grant{From: r.From, To: r.To, Fence: r.Fence, Hold: hold, State: state})
+	t.mu.Lock()
+	if result.sent {
+		h.sent(began)
+		if result.err != nil {
+			h.doubtUntil = h.heldUntil
+		}
+	}
+	t.mu.Unlock()
+	switch {
+	case result.err != nil:
+		return result.err
+	case outcome == dialect.GrantStale:
+		t.depose("a server has seen a higher fence", zap.String("server", string(h.server.ID)),
+			zap.Int("from", r.From), zap.Int("to", r.To), zap.Uint64("fence", uint64(r.Fence)))
+		return errDeposed
+	case outcome != dialect.GrantTaken:
+		return errors.Errorf("grant answered with status %d", result.status)
+	}
+	return nil
+}
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -134,6 +134,9 @@
 	s.faults = f
 }
 
+// Register registers the server anew, as its next report does.
+func (s *Server) Register() { s.register("ready") }
+
 // Leave registers the server as draining.
 func (s *Server) Leave() { s.register("draining") }
 
