keeper: no keys leave a server before it took this keeper's grants; last requests of a leaving daemon

(2) Taking safety rules out one by one showed two that no test saw; their tests found real faults: a keeper that was cut off went on renewing under its old fence at a server that had released keys to its successor without ever taking a grant of it, so that two servers held them; a server that accepts connections but answers nothing got new fences for ever and its keys no owner. Change: a daemon that leaves refuses what comes later than 2.5 s, as not run; a server must have taken this keeper's grants before keys leave it; new fences after a failure once in three holds. Tests failed first: TestAKeeperThatWasReplacedGrantsNothingMore, TestKeysOfADarkServerWaitForItsGrants; also TestNewLifeUnderTheSameId.

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -18,6 +18,7 @@
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/daemon"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
@@ -215,7 +216,7 @@
 
 func (w *world) unbroken() {
 	w.t.Helper()
-	must.SliceEmpty(w.t, w.ledger.Broken())
+	must.SliceEmpty(w.t, w.ledger.Broken(), must.Sprint(w.ledger.Broken()))
 }
 
 // load reads keys all over the range until it is stopped, and returns how many
@@ -370,6 +371,73 @@
 	w.unbroken()
 }
 
+// A server may start again under its id: its new life holds nothing of before.
+func TestNewLifeUnderTheSameIdGetsKeysUnderNewFences(t *testing.T) {
+	w := newWorld(t, 3, 3, 1)
+	stop := w.load(w.daemons...)
+	for range 3 {
+		old := w.servers[0]
+		old.Crash()
+		w.servers[0] = w.serve(old.ID(), "drafts", old.Address())
+		w.servers = w.servers[:len(w.servers)-1]
+		w.await("owners of all keys", w.allOwned)
+		time.Sleep(200 * time.Millisecond)
+	}
+	stop()
+	w.unbroken()
+}
+
+// The keys of a server that is silent go elsewhere only when its grants have run out.
+func TestKeysOfADarkServerWaitForItsGrants(t *testing.T) {
+	w := newWorld(t, 3, 4, 1)
+	stop := w.load(w.daemons...)
+	w.servers[1].SetFaults(fenced.Faults{Dark: true})
+	began := time.Now()
+	w.await("owners of all keys", func() error {
+		for key := 0; key < 65536; key += 997 {
+			if owner := w.ownerOf(key); owner == nil || owner == w.servers[1] {
+				return fmt.Errorf("key %d has no living owner", key)
+			}
+		}
+		return nil
+	})
+	t.Logf("back after %v", time.Since(began))
+	w.servers[1].SetFaults(fenced.Faults{})
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	w.unbroken()
+}
+
+// A keeper that is cut off from the store and the other daemons goes on renewing
+// until a server shows it that another daemon keeps the keys.
+func TestAKeeperThatWasReplacedGrantsNothingMore(t *testing.T) {
+	w := newWorld(t, 4, 4, 1)
+	old := w.keeper()
+	blocked := []string{w.store.Address()}
+	for _, d := range w.others(old) {
+		blocked = append(blocked, d.Config().ControlAddress)
+		d.Network().SetFaults(netx.Faults{Blocked: []string{old.Config().ControlAddress}})
+	}
+	old.Network().SetFaults(netx.Faults{Blocked: blocked})
+	w.await("another keeper", func() error {
+		if w.keeper() == old {
+			return fmt.Errorf("still the old one")
+		}
+		return nil
+	})
+	w.servers[2].Leave()
+	w.await("leaving server without keys", func() error {
+		for key := 0; key < 65536; key += 97 {
+			if w.servers[2].Holds(key) {
+				return fmt.Errorf("still holds key %d", key)
+			}
+		}
+		return w.allOwned()
+	})
+	time.Sleep(2 * time.Second)
+	w.unbroken()
+}
+
 func TestKeysOfACrashedServerComeBack(t *testing.T) {
 	w := newWorld(t, 3, 4, 1)
 	stop := w.load(w.daemons...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	idleTimeout  = 60 * time.Second        // a connection without a request is closed after this
 	bodyShare    = 4                       // bodies in memory may take one part in so many of the memory
 	balancerTime = 3500 * time.Millisecond // time in which the balancer learns that the daemon is leaving
+	lastRequests = 2500 * time.Millisecond // a daemon that leaves takes requests for this time; later ones might be cut off
 	tidyPeriod   = 2 * time.Second         // time between two looks for what can be forgotten
 	ownersWait   = 4 * time.Second         // time after the start in which owners of keys are awaited
 )
@@ -56,6 +57,7 @@
 	started   time.Time
 	ready     atomic.Bool
 	leaving   atomic.Bool
+	leavingAt atomic.Int64 // Unix nanoseconds
 
 	http      *fasthttp.Server
 	readiness *fasthttp.Server
@@ -152,6 +154,11 @@
 	}
 }
 
+// closed reports that the daemon leaves and takes no more requests.
+func (g *Gateway) closed() bool {
+	return g.leaving.Load() && time.Since(time.Unix(0, g.leavingAt.Load())) > lastRequests
+}
+
 // quiet drops the library's lines about callers' connections.
 type quiet struct{}
 
@@ -204,6 +211,7 @@
 // Drain implements kernel.Drainer. Callers are accepted until the balancer has
 // learned that the daemon leaves; then the requests in progress are finished.
 func (g *Gateway) Drain(ctx context.Context) error {
+	g.leavingAt.Store(time.Now().UnixNano())
 	g.leaving.Store(true)
 	select {
 	case <-time.After(balancerTime):
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -98,6 +98,9 @@
 
 // find finds the route and the service of the request.
 func (c *call) find() *reason.Error {
+	if c.gateway.closed() {
+		return reason.New(reason.ShuttingDown, "route", "", "the daemon ends")
+	}
 	snapshot := c.gateway.catalog.Load()
 	configuration := snapshot.Configuration
 	if configuration == nil {
--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -36,7 +36,7 @@
 	p = newPlanner(t.load, t.owners.Ranges, able)
 	p.balance(func(id model.ServerID) bool {
 		h := t.holders[id]
-		return h != nil && !h.lost() && now.After(h.doubtUntil)
+		return h != nil && h.taken && !h.lost() && now.After(h.doubtUntil)
 	})
 	return p.moves
 }
@@ -82,7 +82,7 @@
 	switch {
 	case server != nil && server.Born != r.Born:
 		p.rehome(r, "") // a new life under the same id holds nothing
-	case h != nil && h.broken && h.reachable && server != nil && !server.Leaving:
+	case h != nil && h.mendable(now) && server != nil && !server.Leaving:
 		p.add(Move{From: r.From, To: r.To, Target: server})
 	case server == nil && h == nil:
 		if now.After(t.othersUntil) {
@@ -96,7 +96,7 @@
 		if mass && (server == nil || server.Gone) && t.youngGone(r.Server, now) {
 			return
 		}
-		if now.After(h.doubtUntil) {
+		if h.taken && now.After(h.doubtUntil) {
 			p.rehome(r, r.Server)
 		}
 	default:
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -15,7 +15,8 @@
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 900 * time.Millisecond
 	clockSlack     = 0.02
-	releasesAtOnce = 6 // from one server
+	releasesAtOnce = 6        // from one server
+	refencePause   = 3 * hold // a server that failed again under new fences gets others after this time
 	callSlack      = 100 * time.Millisecond
 )
 
@@ -39,11 +40,16 @@
 	// come into force.
 	doubtUntil time.Time
 	ended      bool // the process has ended and holds nothing
+	// taken says that the server has taken this keeper's grants. Before, an
+	// earlier keeper may still renew its own there after a release.
+	taken bool
 	// broken says that a grant failed. What answers at the address later may be
 	// another process: it is granted keys only under new fences.
 	broken    bool
-	reachable bool      // something listens at the address again
-	silent    time.Time // since when the server takes no grants; zero while it does
+	reachable bool // something listens at the address again
+	// refencedAt is when the server last got new fences after a failure.
+	refencedAt time.Time
+	silent     time.Time // since when the server takes no grants; zero while it does
 }
 
 func newHolder(c *caller, heldUntil time.Time) *holder {
@@ -62,3 +68,9 @@
 
 // lost reports that the server does not take its grants.
 func (h *holder) lost() bool { return !h.silent.IsZero() }
+
+// mendable reports that the server may answer again and is worth new fences. One
+// that accepts connections and no calls is not, for a while.
+func (h *holder) mendable(now time.Time) bool {
+	return h.broken && h.reachable && now.Sub(h.refencedAt) > refencePause
+}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -128,6 +128,7 @@
 	defer t.mu.Unlock()
 	h.calls--
 	h.nextAt = time.Now().Add(renewPeriod)
+	h.taken = failure == nil && len(runs) > 0
 	if failure != nil {
 		t.failed(h, failure)
 	}
@@ -149,6 +150,7 @@
 // It runs under the lock.
 func (t *tender) mend(h *holder) {
 	if h.broken {
+		h.refencedAt = time.Now()
 		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
 	}
 	h.broken, h.reachable, h.ended, h.silent = false, false, false, time.Time{}
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -57,6 +57,8 @@
 	OtherAnswer bool
 	// Unframed answers without length and ends the connection.
 	Unframed bool
+	// Dark answers nothing and does nothing, while its connections stay open.
+	Dark bool
 	// CrashOn ends the process when a request's path contains it.
 	CrashOn string
 	// FailAll answers each request that has run with status 500.
@@ -204,7 +206,22 @@
 	return !s.ended && s.held[key].fence > 0 && now.Before(s.held[key].until)
 }
 
+// awaitLight blocks while the server is dark.
+func (s *Server) awaitLight() {
+	for s.isDark() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *Server) isDark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Dark && !s.ended
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	arrived := time.Now()
+	s.awaitLight()
 	h := &ctx.Request.Header
 	ctx.Response.Header.Set(headerServer, s.options.ID)
 	if expected := string(h.Peek(headerExpected)); expected != "" && expected != s.options.ID {
@@ -213,7 +230,7 @@
 	}
 	switch string(ctx.Path()) {
 	case callGrant:
-		s.grant(ctx)
+		s.grant(ctx, arrived)
 	case callRelease:
 		s.release(ctx)
 	default:
@@ -296,7 +313,8 @@
 	Handover string  `json:"Handover"`
 }
 
-func (s *Server) grant(ctx *fasthttp.RequestCtx) {
+// grant takes a grant. Its time counts from the arrival of the call.
+func (s *Server) grant(ctx *fasthttp.RequestCtx, arrived time.Time) {
 	var g keyCall
 	if json.Unmarshal(ctx.PostBody(), &g) != nil || g.From < 0 || g.To > 65535 || g.From > g.To {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -310,7 +328,10 @@
 			return
 		}
 	}
-	until := time.Now().Add(time.Duration(g.HoldS * float64(time.Second)))
+	until := arrived.Add(time.Duration(g.HoldS * float64(time.Second)))
+	if time.Now().After(until) {
+		return // it has run out on its way
+	}
 	for key := g.From; key <= g.To; key++ {
 		s.seen[key] = g.Fence
 		s.held[key] = holding{fence: g.Fence, until: until}
