follow: a daemon that the store turns away says so at once; shorter waits for what has a bound

Change: a follower whose feed fails is left at once, also by those that wait for changes; daemons that only try the store because they hear from nobody pause 1 to 2 s; waits of 0.9 s for configuration and servers (a silent cut is seen within 1.4 s), 1.7 s for the rest. Settings that nothing read are gone.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,10 +61,9 @@
 	// GraceSeconds is the time after SIGTERM at which the process is killed.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// RepeatShare bounds the repeated sends to a service as a share of the first
-	// ones, over the fleet; RepeatExtra sends in RepeatWindowSeconds come on top.
-	RepeatShare         float64 `json:"repeat_share"`
-	RepeatExtra         int     `json:"repeat_extra"`
-	RepeatWindowSeconds float64 `json:"repeat_window_seconds"`
+	// ones, over the fleet; RepeatExtra sends may be saved up beside.
+	RepeatShare float64 `json:"repeat_share"`
+	RepeatExtra int     `json:"repeat_extra"`
 	// MaxHoldSeconds bounds the time for which a server may own keys without a renewal.
 	MaxHoldSeconds float64 `json:"max_hold_seconds"`
 }
@@ -279,9 +278,6 @@
 	if f.RepeatExtra < 0 {
 		add("fenced.repeat_extra", "found %d, want 0 or more", f.RepeatExtra)
 	}
-	if f.RepeatWindowSeconds <= 0 {
-		add("fenced.repeat_window_seconds", "found %v, want more than 0", f.RepeatWindowSeconds)
-	}
 	if f.MaxHoldSeconds <= 0 {
 		add("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
 	}
--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -112,7 +112,7 @@
 		PlatformAddress: w.store.Address(), LogLevel: "info",
 		Fenced: &config.Fenced{
 			ReadinessAddress: anyAddress, MetricsAddress: anyAddress, MemoryMB: 200, Cores: 1, GraceSeconds: 6,
-			RepeatShare: 0.2, RepeatExtra: 100, RepeatWindowSeconds: 10, MaxHoldSeconds: 10,
+			RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10,
 		},
 	}
 	d, err := daemon.New(c, nil, zap.NewNop())
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -75,6 +75,7 @@
 	// storeAt when the store itself last answered this daemon.
 	heardAt atomic.Pointer[time.Time]
 	storeAt atomic.Pointer[time.Time]
+	failing atomic.Int32 // collections that the store does not give this daemon
 
 	background kernel.Background
 }
@@ -195,7 +196,7 @@
 }
 
 // OnStore reports that this daemon hears from the store itself.
-func (f *Follow) OnStore() bool { return f.StoreAge() < freshWithin }
+func (f *Follow) OnStore() bool { return f.StoreAge() < freshWithin && f.failing.Load() == 0 }
 
 // Changed returns a channel that is closed at the next change of any copy.
 func (f *Follow) Changed() <-chan struct{} {
@@ -231,10 +232,15 @@
 		return
 	}
 	f.loop.Post(func() { f.derive(c, changed) })
+	f.wake()
+}
+
+// wake lets the daemons that wait for changes look again.
+func (f *Follow) wake() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.mu.Unlock()
 }
 
 // derive runs on the control goroutine.
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -19,14 +19,16 @@
 // Bounds of following.
 const (
 	storeFollowers = 3                       // daemons, at least, that follow the store while all is well
-	storeWait      = 1700 * time.Millisecond // the store's answer without a change comes after this
-	storeTimeout   = 2400 * time.Millisecond // bound of one wait; a slow store answers within it
+	storeWait      = 900 * time.Millisecond  // the store's answer without a change comes after this
+	sharedWait     = 1700 * time.Millisecond // the same for the system's own records, which have no bound
+	storeSlack     = 500 * time.Millisecond  // beyond its wait, the store answers within this; a slow one does
 	readTimeout    = 1500 * time.Millisecond // bound of one read of a whole collection
 	peerWait       = 600 * time.Millisecond  // a daemon's answer without a change comes after this
 	peerTimeout    = 900 * time.Millisecond  // bound of one wait for a daemon
 	joinPause      = 150 * time.Millisecond  // pause after a change, in which further ones join it
 	firstPause     = 400 * time.Millisecond  // time for the other daemons of a new system to register
 	failurePause   = 300 * time.Millisecond  // pause after a failed call to the store
+	strangerPause  = time.Second             // the same for a daemon that is not designated to follow it
 	suspectFor     = 2 * time.Second         // a daemon that did not answer is passed over for this time
 	freshWithin    = 3000 * time.Millisecond // a daemon that heard from the store within this is worth following
 )
@@ -260,7 +262,7 @@
 		changed := f.Changed()
 		answer := f.lacking(request)
 		left := time.Until(deadline)
-		if len(answer.Updates) > 0 || left <= 0 {
+		if len(answer.Updates) > 0 || left <= 0 || !answer.OnStore {
 			return answer, nil
 		}
 		timer := time.NewTimer(left)
@@ -306,6 +308,7 @@
 
 func (f *Follow) followCollection(ctx context.Context, c platform.Collection) {
 	failing := false
+	defer func() { f.noteFailing(failing, false) }()
 	for ctx.Err() == nil {
 		err := f.wait(ctx, c)
 		if err != nil && !failing {
@@ -314,10 +317,11 @@
 		if err == nil && failing {
 			f.log.Info("store regained", zap.String("peer", "store"), zap.String("collection", string(c)))
 		}
+		f.noteFailing(failing, err != nil)
 		failing = err != nil
 		if failing {
 			f.catchUp(ctx)
-			pause(ctx, failurePause+rand.N(failurePause))
+			f.pauseAfterFailure(ctx)
 		}
 		if !f.designated() {
 			return
@@ -325,6 +329,29 @@
 	}
 }
 
+// noteFailing counts the collections that the store does not give, and wakes the
+// daemons that follow this one when the first one fails.
+func (f *Follow) noteFailing(before, now bool) {
+	switch {
+	case now && !before:
+		if f.failing.Add(1) == 1 {
+			f.wake()
+		}
+	case before && !now:
+		f.failing.Add(-1)
+	}
+}
+
+// pauseAfterFailure waits before the next call to a store that failed. Daemons
+// that only try it because no other is heard from wait longer.
+func (f *Follow) pauseAfterFailure(ctx context.Context) {
+	least := failurePause
+	if !f.designated() {
+		least = strangerPause
+	}
+	pause(ctx, least+rand.N(least))
+}
+
 // catchUp asks the other candidates what they know, for a daemon that the store
 // does not serve.
 func (f *Follow) catchUp(ctx context.Context) {
@@ -348,9 +375,13 @@
 	if f.replicas[c].known() == 0 {
 		return f.read(ctx, c)
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	length := storeWait
+	if c == platform.Shared {
+		length = sharedWait
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, length+storeSlack)
 	defer cancel()
-	page, err := f.feed.Changes(waitCtx, c, f.replicas[c].known(), storeWait)
+	page, err := f.feed.Changes(waitCtx, c, f.replicas[c].known(), length)
 	f.calls.Inc()
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.log.Info("history gone, reading anew", zap.String("collection", string(c)))
