keeper: a grant is never longer than servers take

Cause: max_hold_seconds was checked and not used. Change: the hold is the usual 2.4 s or that bound.

--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -9,19 +9,19 @@
 // Times of a grant. A server's clock may run slow by clockSlack; a call may
 // still be on its way for callSlack after its sender gave it up.
 const (
-	hold           = 2400 * time.Millisecond
+	usualHold      = 2400 * time.Millisecond
 	renewPeriod    = 600 * time.Millisecond
 	retryPeriod    = 100 * time.Millisecond // pause after a failed renewal
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 900 * time.Millisecond
 	clockSlack     = 0.02
 	releasesAtOnce = 6        // from one server
-	refencePause   = 3 * hold // a server that failed again under new fences gets others after this time
+	refencePause   = 3 * usualHold // a server that failed again under new fences gets others after this time
 	callSlack      = 100 * time.Millisecond
 )
 
 // runOut is the time after which a grant that was sent has surely ended.
-func runOut() time.Duration {
+func runOut(hold time.Duration) time.Duration {
 	return time.Duration(float64(hold)*(1+clockSlack)) + callSlack
 }
 
@@ -57,8 +57,8 @@
 }
 
 // sent notes the sending of a grant.
-func (h *holder) sent(at time.Time) {
-	if until := at.Add(runOut()); until.After(h.heldUntil) {
+func (h *holder) sent(at time.Time, hold time.Duration) {
+	if until := at.Add(runOut(hold)); until.After(h.heldUntil) {
 		h.heldUntil = until
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -123,6 +123,13 @@
 	return nil
 }
 
+// hold is the time for which a grant is given: the usual one, or what servers
+// take at most.
+func (k *Keeper) hold() time.Duration {
+	most := time.Duration(k.config.Fenced.MaxHoldSeconds * float64(time.Second))
+	return min(usualHold, most)
+}
+
 func (k *Keeper) giveUp() {
 	k.mu.Lock()
 	k.leaving = true
--- a/internal/keeper/look.go
+++ b/internal/keeper/look.go
@@ -201,7 +201,7 @@
 	for i := range next.Ranges {
 		next.Ranges[i].Fence = nextFence(owners)
 	}
-	othersUntil := time.Now().Add(runOut())
+	othersUntil := time.Now().Add(runOut(k.hold()))
 	if !ended {
 		othersUntil = othersUntil.Add(outageTending)
 	}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -162,10 +162,11 @@
 		return t.ctx.Err()
 	}
 	began := time.Now()
+	hold := t.keeper.hold()
 	outcome, result := h.caller.grant(t.ctx, dialect.Grant{From: r.From, To: r.To, Fence: r.Fence, Hold: hold, State: state})
 	t.mu.Lock()
 	if result.sent {
-		h.sent(began)
+		h.sent(began, hold)
 		if result.err != nil {
 			h.doubtUntil = h.heldUntil
 		}
