--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -15,7 +15,7 @@
 	grantTimeout   = 400 * time.Millisecond
 	releaseTimeout = 900 * time.Millisecond
 	clockSlack     = 0.02
-	releasesAtOnce = 6        // from one server
+	releasesAtOnce = 6             // from one server
 	refencePause   = 3 * usualHold // a server that failed again under new fences gets others after this time
 	callSlack      = 100 * time.Millisecond
 )
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -110,9 +110,15 @@
 }
 
 // Drain implements kernel.Drainer. The services are given up, so that another
-// daemon takes them before their grants run out.
+// daemon takes them before their grants run out. While the store is away none
+// can: the grants are then renewed up to the end.
 func (k *Keeper) Drain(context.Context) error {
-	k.giveUp()
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	if k.follow.OnStore() {
+		k.giveUp()
+	}
 	return nil
 }
 
