--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,11 +27,8 @@
 // ServiceName is the service's name in the kernel.
 const ServiceName kernel.Name = "follow"
 
-// Names of the system's own records in the store.
-const (
-	daemonPrefix = "daemon/"
-	ownersPrefix = "owners/"
-)
+// ownersPrefix begins the names of the records with the owners of keys.
+const ownersPrefix = "owners/"
 
 // collections are followed together.
 var collections = []platform.Collection{platform.Configurations, platform.Servers, platform.Shared}
@@ -342,7 +339,7 @@
 }
 
 func (f *Follow) takeShared(record platform.Record) {
-	if name, ok := strings.CutPrefix(record.Name, daemonPrefix); ok {
+	if name, ok := strings.CutPrefix(record.Name, platform.DaemonPrefix); ok {
 		f.takeDaemon(model.DaemonID(name), record)
 		return
 	}
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -108,7 +108,7 @@
 func (f *Follow) putSelf(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	name := daemonPrefix + string(f.config.Name)
+	name := platform.DaemonPrefix + string(f.config.Name)
 	expect := platform.Revision(0)
 	if held, ok := f.replicas[platform.Shared].get(name); ok {
 		expect = held.Revision
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -10,6 +10,9 @@
 // collection must be read anew.
 var ErrHistoryGone = errors.New("platform: the changes after that revision are no longer kept")
 
+// DaemonPrefix begins the names of the daemons' records among the shared ones.
+const DaemonPrefix = "daemon/"
+
 // Revision is a value of the store's one counter, which rises with each transaction.
 type Revision uint64
 
