keeper: one release a move, awaited until the grants have run out

Change: one release a move; without an answer the keys move when every grant that the source may have got has run out. Moves whose sources let go within 100 ms are written together, without waiting for the others. Test failed first: TestKeysWaitForTheWorkOnThem (the stand-in now answers a second release at once and its ledger sees work that goes on).

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -387,6 +387,26 @@
 	w.unbroken()
 }
 
+// Keys on which a server works for long go elsewhere only when the work has ended.
+func TestKeysWaitForTheWorkOnThem(t *testing.T) {
+	w := newWorld(t, 2, 3, 1)
+	const key = 30_000
+	owner := w.ownerOf(key)
+	owner.SetFaults(fenced.Faults{MoreWork: 1600 * time.Millisecond})
+	answered := make(chan answer, 1)
+	go func() { answered <- w.send(w.daemons[0], "GET", "/read/x", key, "") }()
+	time.Sleep(100 * time.Millisecond)
+	owner.Leave()
+	w.await("another owner", func() error {
+		if next := w.ownerOf(key); next == nil || next == owner {
+			return fmt.Errorf("no other owner of key %d yet", key)
+		}
+		return nil
+	})
+	must.Eq(t, 200, (<-answered).status)
+	w.unbroken()
+}
+
 // The keys of a server that is silent go elsewhere only when its grants have run out.
 func TestKeysOfADarkServerWaitForItsGrants(t *testing.T) {
 	w := newWorld(t, 3, 4, 1)
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -104,8 +104,8 @@
 }
 
 // release takes a run of keys back. The answer comes when the work on them has ended.
-func (c *caller) release(ctx context.Context, from, to int, fence catalog.Fence) callResult {
-	answer, result := c.do(ctx, releaseTimeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
+func (c *caller) release(ctx context.Context, timeout time.Duration, from, to int, fence catalog.Fence) callResult {
+	answer, result := c.do(ctx, timeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
 	if result.err != nil {
 		return result
 	}
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -13,7 +13,8 @@
 	renewPeriod    = 600 * time.Millisecond
 	retryPeriod    = 100 * time.Millisecond // pause after a failed renewal
 	grantTimeout   = 400 * time.Millisecond
-	releaseTimeout = 900 * time.Millisecond
+	leastRelease   = 200 * time.Millisecond // a release is awaited for this time, also when the grants run out sooner
+	joinMoves      = 100 * time.Millisecond // moves whose sources let go within this time are written together
 	clockSlack     = 0.02
 	releasesAtOnce = 6             // from one server
 	refencePause   = 3 * usualHold // a server that failed again under new fences gets others after this time
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,29 +33,67 @@
 }
 
 // execute takes keys from their sources, writes the new owners and grants them.
+// Moves whose sources let go are not held up by the others.
 func (t *tender) execute(moves []Move) {
 	freed := t.releaseAll(moves)
-	if len(freed) == 0 {
-		return
+	for left := len(moves); left > 0; {
+		batch := nextBatch(freed, left)
+		left -= len(batch)
+		if !t.settle(batch) {
+			return
+		}
+	}
+}
+
+// nextBatch waits for a release and takes those that follow it closely.
+func nextBatch(freed <-chan releasedMove, most int) []releasedMove {
+	batch := []releasedMove{<-freed}
+	timer := time.NewTimer(joinMoves)
+	defer timer.Stop()
+	for len(batch) < most {
+		select {
+		case next := <-freed:
+			batch = append(batch, next)
+		case <-timer.C:
+			return batch
+		}
+	}
+	return batch
+}
+
+// settle writes the moves of a batch whose sources let go, and grants the keys.
+// It reports false when this keeper was replaced.
+func (t *tender) settle(batch []releasedMove) bool {
+	var free []freedMove
+	for _, r := range batch {
+		if r.freed != nil {
+			free = append(free, *r.freed)
+		}
+	}
+	var owners *catalog.Owners
+	var err error
+	if len(free) > 0 {
+		owners, err = t.write(free)
+	}
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, errDoubt) {
+		t.depose("the record is not as this keeper wrote it", zap.Error(err))
+		return false
 	}
-	owners, err := t.write(freed)
 	t.mu.Lock()
-	if !errors.Is(err, errDoubt) {
-		t.moving = nil
+	for _, r := range batch {
+		t.moving = slices.DeleteFunc(t.moving, func(m catalog.Range) bool { return m.From == r.move.From && m.To == r.move.To })
 	}
-	if err == nil {
+	if err == nil && owners != nil {
 		t.owners = owners
 	}
 	t.mu.Unlock()
-	switch {
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, errDoubt):
-		t.depose("the record is not as this keeper wrote it", zap.Error(err))
-	case err != nil:
-		t.log.Warn("moves not written, the keys stay", zap.Int("moves", len(freed)), zap.Error(err))
-		t.grantBack(freed)
-	default:
-		t.grantMoved(freed)
+	if err != nil {
+		t.log.Warn("moves not written, the keys stay", zap.Int("moves", len(free)), zap.Error(err))
+		t.grantBack(free)
+		return true
 	}
+	t.grantMoved(free)
+	return true
 }
 
 // grantBack renews the grants of the sources of moves that were not written.
@@ -76,8 +114,14 @@
 	state string
 }
 
-// releaseAll has the sources release the keys and returns the moves that may go on.
-func (t *tender) releaseAll(moves []Move) []freedMove {
+// releasedMove is the outcome of a release; freed is nil when the source kept the keys.
+type releasedMove struct {
+	move  Move
+	freed *freedMove
+}
+
+// releaseAll has the sources release the keys, and tells of each move.
+func (t *tender) releaseAll(moves []Move) <-chan releasedMove {
 	t.mu.Lock()
 	for _, m := range moves {
 		if m.Source != "" {
@@ -85,32 +129,21 @@
 		}
 	}
 	t.mu.Unlock()
-	results := make([]*freedMove, len(moves))
-	var all sync.WaitGroup
-	for i, m := range moves {
-		all.Add(1)
+	results := make(chan releasedMove, len(moves))
+	for _, m := range moves {
+		t.done.Add(1)
 		go func() {
-			defer all.Done()
-			results[i] = t.release(m)
+			defer t.done.Done()
+			results <- releasedMove{move: m, freed: t.release(m)}
 		}()
 	}
-	all.Wait()
-	var freed []freedMove
-	for _, r := range results {
-		if r != nil {
-			freed = append(freed, *r)
-		}
-	}
-	if len(freed) == 0 {
-		t.mu.Lock()
-		t.moving = nil
-		t.mu.Unlock()
-	}
-	return freed
+	return results
 }
 
-// release takes the keys of one move from their source. It returns nil when the
-// source did not answer.
+// release takes the keys of one move from their source. A source that does not
+// answer has let go when its grants have run out: the answer to a second release
+// would not tell whether work that began before has ended. It returns nil when
+// the source could not be asked.
 func (t *tender) release(m Move) *freedMove {
 	if m.Source == "" {
 		return &freedMove{Move: m}
@@ -121,23 +154,24 @@
 	}
 	h.releases <- struct{}{}
 	defer func() { <-h.releases }()
-	for range releaseRetries {
-		t.mu.Lock()
-		fence := t.fenceOf(m.From)
-		t.mu.Unlock()
-		result := h.caller.release(t.ctx, m.From, m.To, fence)
-		if result.err == nil {
-			return &freedMove{Move: m, state: result.state}
-		}
-		t.log.Warn("keys not released", zap.String("server", string(m.Source)), zap.Int("from", m.From), zap.Int("to", m.To), zap.Error(result.err))
-		if errors.Is(result.err, errEnded) {
-			return &freedMove{Move: m}
-		}
-		if t.ctx.Err() != nil {
-			return nil
-		}
+	t.mu.Lock()
+	fence, until := t.fenceOf(m.From), h.heldUntil
+	t.mu.Unlock()
+	result := h.caller.release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
+	switch {
+	case result.err == nil:
+		return &freedMove{Move: m, state: result.state}
+	case errors.Is(result.err, errEnded):
+		return &freedMove{Move: m}
+	}
+	t.log.Warn("release not answered, waiting for the grants to run out", zap.String("server", string(m.Source)),
+		zap.Int("from", m.From), zap.Int("to", m.To), zap.Time("held_until", until), zap.Error(result.err))
+	select {
+	case <-time.After(time.Until(until)):
+		return &freedMove{Move: m}
+	case <-t.ctx.Done():
+		return nil
 	}
-	return nil
 }
 
 // quietHolder waits until no grant to a server is under way, so that none can
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -13,16 +13,15 @@
 )
 
 const (
-	tendPeriod     = 50 * time.Millisecond  // time between two looks at what is due
-	balancePeriod  = 400 * time.Millisecond // time between two looks at the balance
-	goneGrace      = 2200 * time.Millisecond
-	massGone       = 0.3                    // share of a service's owners whose disappearance looks like an outage
-	lostAfter      = 300 * time.Millisecond // silence after which a server's keys are taken away when they can be
-	writeTimeout   = time.Second
-	outageTending  = 12 * time.Second // renewals go on for this time without a word from the store
-	standStill     = time.Second      // a keeper that stood still for this time asks who keeps the keys
-	releaseRetries = 3
-	failedPause    = time.Second // no keys move for balance for this time after a write failed
+	tendPeriod    = 50 * time.Millisecond  // time between two looks at what is due
+	balancePeriod = 400 * time.Millisecond // time between two looks at the balance
+	goneGrace     = 2200 * time.Millisecond
+	massGone      = 0.3                    // share of a service's owners whose disappearance looks like an outage
+	lostAfter     = 300 * time.Millisecond // silence after which a server's keys are taken away when they can be
+	writeTimeout  = time.Second
+	outageTending = 12 * time.Second // renewals go on for this time without a word from the store
+	standStill    = time.Second      // a keeper that stood still for this time asks who keeps the keys
+	failedPause   = time.Second      // no keys move for balance for this time after a write failed
 )
 
 // errDeposed says that another keeper has the service.
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -59,6 +59,8 @@
 	Unframed bool
 	// Dark answers nothing and does nothing, while its connections stay open.
 	Dark bool
+	// MoreWork makes each run longer.
+	MoreWork time.Duration
 	// CrashOn ends the process when a request's path contains it.
 	CrashOn string
 	// FailAll answers each request that has run with status 500.
@@ -274,7 +276,8 @@
 		return
 	}
 	s.options.Ledger.ran(s, key)
-	time.Sleep(s.options.Work)
+	time.Sleep(s.options.Work + f.MoreWork)
+	s.options.Ledger.over(s, key)
 	s.mu.Lock()
 	s.running--
 	s.inKeys[key]--
@@ -346,12 +349,14 @@
 		return
 	}
 	s.mu.Lock()
+	held := s.held[g.From].fence > 0
 	for key := g.From; key <= g.To; key++ {
 		s.held[key] = holding{}
 	}
 	s.options.Ledger.released(s, g.From, g.To)
 	s.mu.Unlock()
-	for s.busy(g.From, g.To) {
+	// Only the release that takes the keys waits for the work on them.
+	for held && s.busy(g.From, g.To) {
 		time.Sleep(time.Millisecond)
 	}
 	ctx.Response.Header.Set(headerState, fmt.Sprintf("%s-%d-%d", s.options.ID, g.From, g.To))
