--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -69,7 +69,6 @@
 
 // link returns the link of a server. Another life starts with a new one.
 func (b *Backends) link(server *catalog.Server) *link {
-	limit := b.connectionLimit(server.Service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := b.links[server.ID]
@@ -80,7 +79,7 @@
 	if held != nil {
 		held.pool.Close()
 	}
-	created := &link{server: server, pool: httplink.NewPool(server.Address, limit, b.network.Dial)}
+	created := &link{server: server, pool: httplink.NewPool(server.Address, b.connectionLimit(server.Service), b.network.Dial)}
 	created.pool.AcceptUnframed()
 	b.links[server.ID] = created
 	return created
@@ -121,12 +120,13 @@
 // there is none left that was not tried.
 func (b *Backends) Choose(snapshot *catalog.Snapshot, w *Wanted) *catalog.Server {
 	now := time.Now()
+	usual := b.stats.usual(w.Service)
 	var views []view
 	for _, server := range snapshot.ByService[w.Service] {
 		if server.Leaving || slices.Contains(w.Tried, server.ID) {
 			continue
 		}
-		views = append(views, b.link(server).state.view(server, b.stats.usual(w.Service), now))
+		views = append(views, b.link(server).state.view(server, usual, now))
 	}
 	w.Bytes += b.stats.usualBytes(w.Service)
 	return choose(views, b.zone, w)
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -58,7 +58,7 @@
 		f.log.Warn("daemons not read", zap.String("peer", "store"), zap.Error(err))
 	}
 	for ctx.Err() == nil {
-		if f.designated() {
+		if f.Designated() {
 			f.followStore(ctx)
 			continue
 		}
@@ -161,8 +161,8 @@
 	return candidates
 }
 
-// designated reports that this daemon should follow the store itself.
-func (f *Follow) designated() bool {
+// Designated reports that this daemon should follow the store itself.
+func (f *Follow) Designated() bool {
 	for _, d := range f.Candidates() {
 		if d.Name == f.config.Name {
 			return true
@@ -225,7 +225,7 @@
 			return good
 		}
 		good = true
-		if f.designated() {
+		if f.Designated() {
 			return true
 		}
 	}
@@ -323,7 +323,7 @@
 			f.catchUp(ctx)
 			f.pauseAfterFailure(ctx)
 		}
-		if !f.designated() {
+		if !f.Designated() {
 			return
 		}
 	}
@@ -346,7 +346,7 @@
 // that only try it because no other is heard from wait longer.
 func (f *Follow) pauseAfterFailure(ctx context.Context) {
 	least := failurePause
-	if !f.designated() {
+	if !f.Designated() {
 		least = strangerPause
 	}
 	pause(ctx, least+rand.N(least))
--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -12,7 +12,7 @@
 	snapshot := t.keeper.catalog.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	able := t.able(snapshot, now)
+	able := t.able(snapshot)
 	if len(able) == 0 {
 		return nil
 	}
@@ -42,7 +42,7 @@
 }
 
 // able returns the servers that may get keys. It runs under the lock.
-func (t *tender) able(snapshot *catalog.Snapshot, now time.Time) []*catalog.Server {
+func (t *tender) able(snapshot *catalog.Snapshot) []*catalog.Server {
 	var able []*catalog.Server
 	for _, server := range snapshot.ByService[t.service] {
 		h := t.holders[server.ID]
--- a/internal/keeper/look.go
+++ b/internal/keeper/look.go
@@ -53,7 +53,7 @@
 		return
 	}
 	k.dropDeposed()
-	if k.follow.StoreAge() > storeFresh || !k.candidate() || k.isLeaving() {
+	if k.follow.StoreAge() > storeFresh || !k.follow.Designated() || k.isLeaving() {
 		return
 	}
 	for _, service := range snapshot.Configuration.KeyedServices() {
@@ -70,15 +70,6 @@
 	return k.leaving
 }
 
-func (k *Keeper) candidate() bool {
-	for _, d := range k.follow.Candidates() {
-		if d.Name == k.config.Name {
-			return true
-		}
-	}
-	return false
-}
-
 func (k *Keeper) tending(service model.PoolName) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -26,9 +26,11 @@
 		}
 		now := time.Now()
 		if t.keeper.follow.StoreAge() < storeFresh {
-			t.mu.Lock()
 			t.confirmed = now
-			t.mu.Unlock()
+		}
+		if silent := now.Sub(t.confirmed); silent > outageTending {
+			t.depose("no word from the store", zap.Duration("for", silent))
+			return
 		}
 		t.renewDue(now)
 	}
@@ -38,12 +40,6 @@
 	snapshot := t.keeper.catalog.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.confirmed) > outageTending {
-		t.deposed = true
-		t.cancel()
-		t.log.Warn("keys not kept any more", zap.String("why", "no word from the store"), zap.Duration("for", now.Sub(t.confirmed)))
-		return
-	}
 	for _, r := range t.owners.Ranges {
 		server := snapshot.Servers[r.Server]
 		h := t.holders[r.Server]
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -16,8 +16,7 @@
 	tendPeriod    = 50 * time.Millisecond  // time between two looks at what is due
 	balancePeriod = 400 * time.Millisecond // time between two looks at the balance
 	goneGrace     = 2200 * time.Millisecond
-	massGone      = 0.3                    // share of a service's owners whose disappearance looks like an outage
-	lostAfter     = 300 * time.Millisecond // silence after which a server's keys are taken away when they can be
+	massGone      = 0.3 // share of a service's owners whose disappearance looks like an outage
 	writeTimeout  = time.Second
 	outageTending = 12 * time.Second // renewals go on for this time without a word from the store
 	standStill    = time.Second      // a keeper that stood still for this time asks who keeps the keys
@@ -43,7 +42,7 @@
 	goneAt      map[model.ServerID]time.Time
 	deposed     bool
 	balancedAt  time.Time
-	confirmed   time.Time // the record was last known to be this keeper's
+	confirmed   time.Time // the store last answered; used by renewLoop only
 
 	ctx    context.Context
 	cancel context.CancelFunc
