keeper: a refused connection does not prove that a server has ended

Change: a refusal proves the end only when the store, read after it, still has the registration as not leaving: a server that stops in order is registered as leaving, or no longer, before it stops listening. Otherwise its grants must run out. Servers that fail together share one reading. A line logs each such finding. The stand-in server can stop listening while it works.

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -407,6 +407,28 @@
 	w.unbroken()
 }
 
+// A leaving server stops listening before its last work has ended. A refused
+// connection does not tell that it works no longer.
+func TestKeysOfALeavingServerThatListensNoMoreWaitForItsWork(t *testing.T) {
+	w := newWorld(t, 2, 3, 1)
+	const key = 30_000
+	owner := w.ownerOf(key)
+	owner.SetFaults(fenced.Faults{MoreWork: 1200 * time.Millisecond})
+	answered := make(chan answer, 1)
+	go func() { answered <- w.send(w.daemons[0], "GET", "/read/x", key, "") }()
+	time.Sleep(100 * time.Millisecond)
+	owner.Leave()
+	owner.StopListening()
+	w.await("another owner", func() error {
+		if next := w.ownerOf(key); next == nil || next == owner {
+			return fmt.Errorf("no other owner of key %d yet", key)
+		}
+		return nil
+	})
+	must.Eq(t, 200, (<-answered).status)
+	w.unbroken()
+}
+
 // The keys of a server that is silent go elsewhere only when its grants have run out.
 func TestKeysOfADarkServerWaitForItsGrants(t *testing.T) {
 	w := newWorld(t, 3, 4, 1)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -68,6 +68,9 @@
 	changed chan struct{}                // closed at the next change of any copy
 	servers map[model.ServerID]*catalog.Server
 
+	serversMu     sync.Mutex
+	serversReadAt time.Time // when the last reading of all servers began
+
 	// heardAt is when the store, or a daemon that hears from it, last answered;
 	// storeAt when the store itself last answered this daemon.
 	heardAt atomic.Pointer[time.Time]
@@ -219,6 +222,35 @@
 	}
 }
 
+// Registered returns the registration of a server as the store has it after the
+// call began; found is false when it has none.
+func (f *Follow) Registered(ctx context.Context, id model.ServerID) (server *catalog.Server, found bool, err error) {
+	if err := f.readServersAfter(ctx, time.Now()); err != nil {
+		return nil, false, err
+	}
+	record, found := f.replicas[platform.Servers].get(string(id))
+	if !found {
+		return nil, false, nil
+	}
+	server, err = f.dialect.Server(record, time.Now())
+	return server, err == nil, err
+}
+
+// readServersAfter reads the servers anew, once for all that ask at the same time.
+func (f *Follow) readServersAfter(ctx context.Context, asked time.Time) error {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	if f.serversReadAt.After(asked) {
+		return nil
+	}
+	began := time.Now()
+	if err := f.read(ctx, platform.Servers); err != nil {
+		return errors.Wrap(err, "read servers")
+	}
+	f.serversReadAt = began
+	return nil
+}
+
 // OwnersName returns the name of the record with the owners of a service's keys.
 func OwnersName(service model.PoolName) string { return ownersPrefix + string(service) }
 
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -17,8 +17,9 @@
 
 const callConnections = 2 * releasesAtOnce // connections for calls to one server
 
-// errEnded says that no process listens at the server's address: it holds nothing.
-var errEnded = errors.New("keeper: the server's process has ended")
+// errNotListening says that the server does not listen at its address. Its
+// process has ended, or works off its last requests before it ends.
+var errNotListening = errors.New("keeper: the server does not listen any more")
 
 // caller makes the calls about keys to one life of a server.
 type caller struct {
@@ -65,7 +66,7 @@
 		fasthttp.ReleaseResponse(answer)
 		err := error(failure)
 		if failure.Stage == httplink.StageDial && errors.Is(failure, syscall.ECONNREFUSED) {
-			err = errors.Wrap(errEnded, failure.Error())
+			err = errors.Wrap(errNotListening, failure.Error())
 		}
 		return nil, callResult{sent: failure.Sent, err: err}
 	}
@@ -86,16 +87,16 @@
 	defer fasthttp.ReleaseResponse(answer)
 	outcome := c.dialect.ReadGrant(result.status)
 	if outcome == dialect.GrantElsewhere {
-		result.err = errors.Wrap(errEnded, "another server answers at its address")
+		result.err = errors.Wrap(errNotListening, "another server answers at its address")
 	}
 	return outcome, result
 }
 
-// reach reports whether a process listens at the server's address.
+// reach returns nil when a process listens at the server's address.
 func (c *caller) reach() error {
 	conn, err := c.dial(c.server.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return errors.Wrap(errEnded, err.Error())
+		return errors.Wrap(errNotListening, err.Error())
 	}
 	if err != nil {
 		return err
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -41,6 +41,9 @@
 	// come into force.
 	doubtUntil time.Time
 	ended      bool // the process has ended and holds nothing
+	// leftInOrder says that the server does not listen, and did not crash: it may
+	// still work.
+	leftInOrder bool
 	// taken says that the server has taken this keeper's grants. Before, an
 	// earlier keeper may still renew its own there after a release.
 	taken bool
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -161,7 +161,7 @@
 	switch {
 	case result.err == nil:
 		return &freedMove{Move: m, state: result.state}
-	case errors.Is(result.err, errEnded):
+	case t.hasEnded(h, result.err):
 		return &freedMove{Move: m}
 	}
 	t.log.Warn("release not answered, waiting for the grants to run out", zap.String("server", string(m.Source)),
@@ -271,11 +271,12 @@
 func (t *tender) grantFirst(h *holder, run catalog.Range, state string) {
 	defer t.done.Done()
 	err := t.grant(h, run, state)
+	ended := t.hasEnded(h, err)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h.calls--
 	if err != nil {
-		t.failed(h, err)
+		t.failed(h, err, ended)
 		t.log.Warn("new owner did not take its keys", zap.String("server", string(h.server.ID)),
 			zap.Int("from", run.From), zap.Int("to", run.To), zap.Error(err))
 	}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -106,12 +106,13 @@
 	t.mu.Unlock()
 	if broken {
 		err := h.caller.reach()
+		ended := t.hasEnded(h, err)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		h.calls--
 		h.nextAt = time.Now().Add(retryPeriod)
 		h.reachable = err == nil
-		h.ended = h.ended || errors.Is(err, errEnded)
+		h.ended = h.ended || ended
 		return
 	}
 	var failure error
@@ -120,21 +121,46 @@
 			break
 		}
 	}
+	ended := t.hasEnded(h, failure)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h.calls--
 	h.nextAt = time.Now().Add(renewPeriod)
 	h.taken = failure == nil && len(runs) > 0
 	if failure != nil {
-		t.failed(h, failure)
+		t.failed(h, failure, ended)
 	}
 }
 
+// hasEnded reports that a server which is found not to listen has ended: nothing
+// runs there any more. Before a server stops listening while it still works, the
+// store has its registration as leaving, or has it no longer.
+func (t *tender) hasEnded(h *holder, failure error) bool {
+	t.mu.Lock()
+	ended, known := h.ended, h.ended || h.leftInOrder
+	t.mu.Unlock()
+	if known || !errors.Is(failure, errNotListening) || !t.keeper.follow.OnStore() {
+		return ended
+	}
+	registered, found, err := t.keeper.follow.Registered(t.ctx, h.server.ID)
+	if err != nil {
+		t.log.Warn("registration not read, waiting for the grants to run out", zap.String("server", string(h.server.ID)), zap.Error(err))
+		return false
+	}
+	crashed := found && registered.SameLife(h.server) && !registered.Leaving
+	t.mu.Lock()
+	h.leftInOrder = !crashed
+	t.mu.Unlock()
+	t.log.Info("server does not listen any more", zap.String("server", string(h.server.ID)),
+		zap.Bool("registered", found), zap.Bool("crashed", crashed))
+	return crashed
+}
+
 // failed notes that a server did not take a grant. It runs under the lock.
-func (t *tender) failed(h *holder, failure error) {
+func (t *tender) failed(h *holder, failure error, ended bool) {
 	h.nextAt = time.Now().Add(retryPeriod)
 	h.broken, h.reachable = true, false
-	h.ended = h.ended || errors.Is(failure, errEnded)
+	h.ended = h.ended || ended
 	if h.silent.IsZero() {
 		h.silent = time.Now()
 		t.log.Warn("server does not take its keys", zap.String("server", string(h.server.ID)),
@@ -149,7 +175,7 @@
 		h.refencedAt = time.Now()
 		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
 	}
-	h.broken, h.reachable, h.ended, h.silent = false, false, false, time.Time{}
+	h.broken, h.reachable, h.ended, h.leftInOrder, h.silent = false, false, false, false, time.Time{}
 }
 
 // grant gives one run to a server.
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -80,7 +80,7 @@
 	held     [65536]holding
 	seen     [65536]uint64 // highest fence by key
 	inKeys   map[int]int   // running requests by key
-	conns    map[net.Conn]struct{}
+	conns    map[net.Conn]fasthttp.ConnState
 	runs     map[string]int
 	patience []time.Duration
 	ended    bool
@@ -100,7 +100,7 @@
 	}
 	s := &Server{
 		options: o, born: time.Now().UnixMilli(), listener: listener,
-		inKeys: map[int]int{}, conns: map[net.Conn]struct{}{}, runs: map[string]int{},
+		inKeys: map[int]int{}, conns: map[net.Conn]fasthttp.ConnState{}, runs: map[string]int{},
 	}
 	s.http = &fasthttp.Server{Handler: s.handle, ConnState: s.track, NoDefaultServerHeader: true, Logger: quiet{}}
 	go func() { _ = s.http.Serve(listener) }()
@@ -147,12 +147,25 @@
 // Unregister drops the registration, as its lease does.
 func (s *Server) Unregister() { s.options.Store.DropRow("servers", s.options.ID) }
 
+// StopListening takes no connections any more and closes those without a request,
+// as a server does at the end of its leaving. What runs goes on.
+func (s *Server) StopListening() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, state := range s.conns {
+		if state != fasthttp.StateActive {
+			_ = conn.Close()
+		}
+	}
+}
+
 // Crash ends the process at once. The registration stays.
 func (s *Server) Crash() {
 	s.mu.Lock()
 	s.ended = true
 	conns := s.conns
-	s.conns = map[net.Conn]struct{}{}
+	s.conns = map[net.Conn]fasthttp.ConnState{}
 	s.mu.Unlock()
 	_ = s.listener.Close()
 	for conn := range conns {
@@ -171,12 +184,11 @@
 func (s *Server) track(conn net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case fasthttp.StateNew:
-		s.conns[conn] = struct{}{}
-	case fasthttp.StateClosed:
+	if state == fasthttp.StateClosed {
 		delete(s.conns, conn)
+		return
 	}
+	s.conns[conn] = state
 }
 
 // Runs returns how often a request ran here.
