--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -154,6 +154,27 @@
 	return nil
 }
 
+// keysOf counts the keys of a server, by a sample of all.
+func (w *world) keysOf(s *fenced.Server) int {
+	count := 0
+	for key := 0; key < 65536; key += 97 {
+		if s.Holds(key) {
+			count++
+		}
+	}
+	return count
+}
+
+// anyKeyOf returns a key that a server holds.
+func (w *world) anyKeyOf(s *fenced.Server) (key int, held bool) {
+	for key := 0; key < 65536; key += 97 {
+		if s.Holds(key) {
+			return key, true
+		}
+	}
+	return 0, false
+}
+
 func (w *world) await(what string, f func() error) {
 	w.t.Helper()
 	end := time.Now().Add(waitLimit)
@@ -450,6 +471,49 @@
 	w.unbroken()
 }
 
+// A server that was silent and answers again gets keys again.
+func TestServerThatAnswersAgainGetsKeysAgain(t *testing.T) {
+	w := newWorld(t, 3, 4, 1)
+	stop := w.load(w.daemons...)
+	silent := w.servers[1]
+	silent.SetFaults(fenced.Faults{Dark: true})
+	w.await("keys at other servers", func() error {
+		if owner := w.keysOf(silent); owner > 0 {
+			return fmt.Errorf("%d keys are still with the silent server", owner)
+		}
+		return w.allOwned()
+	})
+	silent.SetFaults(fenced.Faults{})
+	w.await("keys of the server that answers again", func() error {
+		if w.keysOf(silent) == 0 {
+			return fmt.Errorf("%s holds no keys", silent.ID())
+		}
+		return nil
+	})
+	stop()
+	w.unbroken()
+}
+
+// A server that loses the answers of grants keeps its keys but for a moment,
+// also when that happens often.
+func TestLostAnswersOfGrantsCostLittle(t *testing.T) {
+	const (
+		rounds   = 6
+		keysBack = time.Second
+	)
+	w := newWorld(t, 3, 3, 1)
+	stop := w.load(w.daemons...)
+	for range rounds {
+		w.servers[0].SetFaults(fenced.Faults{LoseGrants: 1})
+		time.Sleep(keysBack)
+		key, held := w.anyKeyOf(w.servers[0])
+		must.True(t, held, must.Sprint("the server has lost its keys"))
+		must.Eq(t, 200, w.send(w.daemons[0], "GET", "/read/x", key, "").status)
+	}
+	stop()
+	w.unbroken()
+}
+
 // A keeper that is cut off from the store and the other daemons goes on renewing
 // until a server shows it that another daemon keeps the keys.
 func TestAKeeperThatWasReplacedGrantsNothingMore(t *testing.T) {
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -25,7 +25,6 @@
 type caller struct {
 	dialect dialect.Dialect
 	server  *catalog.Server
-	dial    httplink.Dial
 	pool    *httplink.Pool
 }
 
@@ -41,7 +40,7 @@
 		}
 		return conn, nil
 	}
-	return &caller{dialect: d, server: server, dial: dial, pool: httplink.NewPool(server.Address, callConnections, dial)}
+	return &caller{dialect: d, server: server, pool: httplink.NewPool(server.Address, callConnections, dial)}
 }
 
 // callResult says what became of a call.
@@ -92,16 +91,17 @@
 	return outcome, result
 }
 
-// reach returns nil when a process listens at the server's address.
-func (c *caller) reach() error {
-	conn, err := c.dial(c.server.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return errors.Wrap(errNotListening, err.Error())
+// check returns nil when the server answers at its address, whatever it says.
+func (c *caller) check(ctx context.Context, healthPath string) error {
+	answer, result := c.do(ctx, grantTimeout, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
+	if result.err != nil {
+		return result.err
 	}
-	if err != nil {
-		return err
+	defer fasthttp.ReleaseResponse(answer)
+	if id := c.dialect.ReadServer(answer).ServerID; id != c.server.ID {
+		return errors.Wrapf(errNotListening, "server %s answers at its address", id)
 	}
-	return conn.Close()
+	return nil
 }
 
 // release takes a run of keys back. The answer comes when the work on them has ended.
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -16,8 +16,9 @@
 	leastRelease   = 200 * time.Millisecond // a release is awaited for this time, also when the grants run out sooner
 	joinMoves      = 100 * time.Millisecond // moves whose sources let go within this time are written together
 	clockSlack     = 0.02
-	releasesAtOnce = 6             // from one server
-	refencePause   = 3 * usualHold // a server that failed again under new fences gets others after this time
+	releasesAtOnce = 6           // from one server
+	refencePause   = time.Second // a server that failed again under new fences gets others after this time
+	checkPeriod    = time.Second // time between two looks at a server that lost all its keys
 	callSlack      = 100 * time.Millisecond
 )
 
@@ -50,7 +51,7 @@
 	// broken says that a grant failed. What answers at the address later may be
 	// another process: it is granted keys only under new fences.
 	broken    bool
-	reachable bool // something listens at the address again
+	answering bool // the server answers at its address again
 	// refencedAt is when the server last got new fences after a failure.
 	refencedAt time.Time
 	silent     time.Time // since when the server takes no grants; zero while it does
@@ -73,8 +74,8 @@
 // lost reports that the server does not take its grants.
 func (h *holder) lost() bool { return !h.silent.IsZero() }
 
-// mendable reports that the server may answer again and is worth new fences. One
-// that accepts connections and no calls is not, for a while.
+// mendable reports that the server answers again and is worth new fences. One
+// that answers and takes no grants is not, for a while.
 func (h *holder) mendable(now time.Time) bool {
-	return h.broken && h.reachable && now.Sub(h.refencedAt) > refencePause
+	return h.broken && h.answering && now.Sub(h.refencedAt) > refencePause
 }
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -260,16 +260,13 @@
 			t.holders[m.Target.ID] = h
 		}
 		run := catalog.Range{From: m.From, To: m.To, Fence: t.fenceOf(m.From)}
-		h.calls++
-		t.done.Add(1)
-		go t.grantFirst(h, run, m.state)
+		t.begin(h, func(h *holder) { t.grantFirst(h, run, m.state) })
 		h.nextAt = time.Time{}
 	}
 }
 
 // grantFirst grants keys to a new owner together with the state of the last one.
 func (t *tender) grantFirst(h *holder, run catalog.Range, state string) {
-	defer t.done.Done()
 	err := t.grant(h, run, state)
 	ended := t.hasEnded(h, err)
 	t.mu.Lock()
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -8,6 +8,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/model"
 )
 
 // renewLoop renews the grants that are due.
@@ -40,7 +41,9 @@
 	snapshot := t.keeper.catalog.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	owning := map[model.ServerID]bool{}
 	for _, r := range t.owners.Ranges {
+		owning[r.Server] = true
 		server := snapshot.Servers[r.Server]
 		h := t.holders[r.Server]
 		if h == nil || h.server.Born != r.Born {
@@ -50,13 +53,66 @@
 			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), t.othersUntil)
 			t.holders[r.Server] = h
 		}
-		if h.calls > 0 || now.Before(h.nextAt) {
+		if h.due(now) {
+			t.begin(h, t.renew)
+		}
+	}
+	t.checkLost(snapshot, owning, now)
+}
+
+// due reports that the server is to be called now.
+func (h *holder) due(now time.Time) bool { return h.calls == 0 && !now.Before(h.nextAt) }
+
+// begin starts a call to a server. It runs under the lock.
+func (t *tender) begin(h *holder, call func(*holder)) {
+	h.calls++
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		call(h)
+	}()
+}
+
+// checkLost looks whether servers that lost all their keys answer again, and
+// forgets those that are not registered any more. It runs under the lock.
+func (t *tender) checkLost(snapshot *catalog.Snapshot, owning map[model.ServerID]bool, now time.Time) {
+	for id, h := range t.holders {
+		if owning[id] || h.calls > 0 || !h.free(now) {
+			continue
+		}
+		registered := snapshot.Servers[id]
+		if registered == nil || !registered.SameLife(h.server) {
+			delete(t.holders, id)
 			continue
 		}
-		h.calls++
-		t.done.Add(1)
-		go t.renew(h)
+		if h.lost() && !h.ended && h.due(now) {
+			t.begin(h, t.checkAgain)
+		}
+	}
+}
+
+// checkAgain lets a server that lost all its keys get others when it answers.
+func (t *tender) checkAgain(h *holder) {
+	err := t.check(h)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h.calls--
+	h.nextAt = time.Now().Add(checkPeriod)
+	if err != nil {
+		return
 	}
+	t.log.Info("server answers again", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
+	h.restore()
+}
+
+// check asks a server for its health. A service that is not configured any more
+// has no path to ask at.
+func (t *tender) check(h *holder) error {
+	service := t.keeper.catalog.Load().Configuration.Services[t.service]
+	if service == nil {
+		return errors.Errorf("service %s is not configured", t.service)
+	}
+	return h.caller.check(t.ctx, service.HealthPath)
 }
 
 // grantsOf returns the runs of a server that may be granted now. It runs under the lock.
@@ -96,22 +152,21 @@
 	return left
 }
 
-// renew grants all that a server owns. After a failure it only looks whether
-// something listens at the address.
+// renew grants all that a server owns. After a failure it only looks whether the
+// server answers.
 func (t *tender) renew(h *holder) {
-	defer t.done.Done()
 	t.mu.Lock()
 	runs := t.grantsOf(h)
 	broken := h.broken
 	t.mu.Unlock()
 	if broken {
-		err := h.caller.reach()
+		err := t.check(h)
 		ended := t.hasEnded(h, err)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		h.calls--
 		h.nextAt = time.Now().Add(retryPeriod)
-		h.reachable = err == nil
+		h.answering = err == nil
 		h.ended = h.ended || ended
 		return
 	}
@@ -159,7 +214,7 @@
 // failed notes that a server did not take a grant. It runs under the lock.
 func (t *tender) failed(h *holder, failure error, ended bool) {
 	h.nextAt = time.Now().Add(retryPeriod)
-	h.broken, h.reachable = true, false
+	h.broken, h.answering = true, false
 	h.ended = h.ended || ended
 	if h.silent.IsZero() {
 		h.silent = time.Now()
@@ -175,7 +230,12 @@
 		h.refencedAt = time.Now()
 		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
 	}
-	h.broken, h.reachable, h.ended, h.leftInOrder, h.silent = false, false, false, false, time.Time{}
+	h.restore()
+}
+
+// restore lets the server be granted keys.
+func (h *holder) restore() {
+	h.broken, h.answering, h.ended, h.leftInOrder, h.silent = false, false, false, false, time.Time{}
 }
 
 // grant gives one run to a server.
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -32,6 +32,7 @@
 	headerState     = "Chicorylug-Handover"
 	callGrant       = "/-/grant"
 	callRelease     = "/-/release"
+	callHealth      = "/healthz"
 )
 
 // Options describe one server.
@@ -63,6 +64,8 @@
 	MoreWork time.Duration
 	// CrashOn ends the process when a request's path contains it.
 	CrashOn string
+	// LoseGrants is the number of grants yet that are carried out and not answered.
+	LoseGrants int
 	// FailAll answers each request that has run with status 500.
 	FailAll bool
 }
@@ -247,6 +250,7 @@
 		s.grant(ctx, arrived)
 	case callRelease:
 		s.release(ctx)
+	case callHealth:
 	default:
 		s.request(ctx)
 	}
@@ -352,6 +356,11 @@
 		s.held[key] = holding{fence: g.Fence, until: until}
 	}
 	s.options.Ledger.granted(s, g.From, g.To, g.Fence, until)
+	if s.faults.LoseGrants > 0 {
+		s.faults.LoseGrants--
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) { reset(conn) })
+	}
 }
 
 func (s *Server) release(ctx *fasthttp.RequestCtx) {
