--- a/internal/catalog/owners.go
+++ b/internal/catalog/owners.go
@@ -34,6 +34,9 @@
 	// KeeperLife tells the lives of a daemon apart.
 	KeeperLife model.Incarnation `json:"keeper_life"`
 	Term       model.Term        `json:"term"`
+	// Unheard says that a keeper before this one may still renew its grants: it was
+	// not known to have ended, and the time that it goes on alone has not passed.
+	Unheard bool `json:"unheard,omitempty"`
 	// Ranges are in the order of their keys. Keys in no range have no owner.
 	Ranges []Range `json:"ranges"`
 	// Load is the share of requests by bucket of keys, in parts of 65,536.
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,17 +15,32 @@
 	"github.com/chicorylug/chicorylug/internal/netx"
 )
 
-const callConnections = 2 * releasesAtOnce // connections for calls to one server
+const callConnections = releasesAtOnce + 1 // connections for releases and a check to one server
 
 // errNotListening says that the server does not listen at its address. Its
 // process has ended, or works off its last requests before it ends.
 var errNotListening = errors.New("keeper: the server does not listen any more")
 
+// calls are the calls about keys to one life of a server.
+type calls interface {
+	// grant gives or renews a range.
+	grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult)
+	// release takes a run of keys back. The answer comes when the work on them has ended.
+	release(ctx context.Context, timeout time.Duration, from, to int, fence catalog.Fence) callResult
+	// check returns nil when the server answers at its address, whatever it says.
+	check(ctx context.Context, healthPath string) error
+	// close ends the connections on which grants are given.
+	close()
+}
+
 // caller makes the calls about keys to one life of a server.
 type caller struct {
 	dialect dialect.Dialect
 	server  *catalog.Server
-	pool    *httplink.Pool
+	// grants leads to the process that got the first of them; pool to whatever
+	// process listens at the address.
+	grants *lineage
+	pool   *httplink.Pool
 }
 
 func newCaller(d dialect.Dialect, network *netx.Network, server *catalog.Server) *caller {
@@ -40,7 +55,7 @@
 		}
 		return conn, nil
 	}
-	return &caller{dialect: d, server: server, pool: httplink.NewPool(server.Address, callConnections, dial)}
+	return &caller{dialect: d, server: server, grants: newLineage(server.Address, dial), pool: httplink.NewPool(server.Address, callConnections, dial)}
 }
 
 // callResult says what became of a call.
@@ -52,7 +67,7 @@
 	err   error
 }
 
-func (c *caller) do(ctx context.Context, timeout time.Duration, fill func(*fasthttp.Request)) (*fasthttp.Response, callResult) {
+func (c *caller) do(ctx context.Context, pool *httplink.Pool, timeout time.Duration, fill func(*fasthttp.Request)) (*fasthttp.Response, callResult) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -60,14 +75,10 @@
 	fill(request)
 	request.Header.SetHost(c.server.Address)
 	answer := fasthttp.AcquireResponse()
-	exchange, failure := c.pool.Do(ctx, request, answer)
+	exchange, failure := pool.Do(ctx, request, answer)
 	if failure != nil {
 		fasthttp.ReleaseResponse(answer)
-		err := error(failure)
-		if failure.Stage == httplink.StageDial && errors.Is(failure, syscall.ECONNREFUSED) {
-			err = errors.Wrap(errNotListening, failure.Error())
-		}
-		return nil, callResult{sent: failure.Sent, err: err}
+		return nil, callResult{sent: failure.Sent, err: dialError(failure)}
 	}
 	defer exchange.Close()
 	if err := exchange.Discard(); err != nil {
@@ -77,9 +88,25 @@
 	return answer, callResult{sent: true, status: answer.StatusCode()}
 }
 
-// grant gives or renews a range.
+// dialError tells a refused connection from other failures.
+func dialError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(errNotListening, err.Error())
+	}
+	return err
+}
+
+// close implements calls.
+func (c *caller) close() {
+	c.grants.close()
+	c.pool.Close()
+}
+
+// grant implements calls.
 func (c *caller) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
-	answer, result := c.do(ctx, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
+	answer, result := c.grants.exchange(ctx, func(pool *httplink.Pool) (*fasthttp.Response, callResult) {
+		return c.do(ctx, pool, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
+	})
 	if result.err != nil {
 		return dialect.GrantRefused, result
 	}
@@ -91,9 +118,9 @@
 	return outcome, result
 }
 
-// check returns nil when the server answers at its address, whatever it says.
+// check implements calls.
 func (c *caller) check(ctx context.Context, healthPath string) error {
-	answer, result := c.do(ctx, grantTimeout, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
+	answer, result := c.do(ctx, c.pool, grantTimeout, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
 	if result.err != nil {
 		return result.err
 	}
@@ -104,9 +131,9 @@
 	return nil
 }
 
-// release takes a run of keys back. The answer comes when the work on them has ended.
+// release implements calls.
 func (c *caller) release(ctx context.Context, timeout time.Duration, from, to int, fence catalog.Fence) callResult {
-	answer, result := c.do(ctx, timeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
+	answer, result := c.do(ctx, c.pool, timeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
 	if result.err != nil {
 		return result
 	}
--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -7,13 +7,22 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// plan returns the moves that are due.
+// plan returns the moves that are due. Their keys are not granted any more.
 func (t *tender) plan(now time.Time) []Move {
-	snapshot := t.keeper.catalog.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	moves := t.due(now)
+	for _, m := range moves {
+		t.moving = append(t.moving, catalog.Range{From: m.From, To: m.To})
+	}
+	return moves
+}
+
+// due works out the moves that are due. It runs under the lock.
+func (t *tender) due(now time.Time) []Move {
+	snapshot := t.keeper.catalog.Load()
 	able := t.able(snapshot)
-	if len(able) == 0 {
+	if len(able) == 0 || now.Before(t.movesAfter) {
 		return nil
 	}
 	if len(t.owners.Ranges) == 0 {
@@ -76,13 +85,18 @@
 func (t *tender) planRange(p *planner, snapshot *catalog.Snapshot, r catalog.Range, mass bool, now time.Time) {
 	server := snapshot.Servers[r.Server]
 	h := t.holders[r.Server]
+	earlierUntil := t.othersUntil
 	if h != nil && h.server.Born != r.Born {
+		earlierUntil = h.earlierUntil
 		h = nil
 	}
 	switch {
 	case server != nil && server.Born != r.Born:
-		p.rehome(r, "") // a new life under the same id holds nothing
-	case h != nil && h.mendable(now) && server != nil && !server.Leaving:
+		// A new life holds nothing, unless a grant for the one before reached it.
+		if (h != nil && h.free(now)) || (h == nil && now.After(earlierUntil)) {
+			p.rehome(r, "")
+		}
+	case h != nil && (h.mendable(now) || r.Fence < h.leastFence) && server != nil && !server.Leaving:
 		p.add(Move{From: r.From, To: r.To, Target: server})
 	case server == nil && h == nil:
 		if now.After(t.othersUntil) {
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -30,14 +30,17 @@
 // holder is what the keeper knows of one life of a server.
 type holder struct {
 	server *catalog.Server
-	caller *caller
+	calls  calls
 	// releases bounds the releases that are under way, each on a connection.
 	releases chan struct{}
-	calls    int       // grants that are under way
+	underWay int       // grants that are under way
 	nextAt   time.Time // of the next renewal
 	// heldUntil is the moment by which every grant that the server may have got
 	// has run out.
 	heldUntil time.Time
+	// earlierUntil is the same moment for grants that went to earlier lives under
+	// the same id. One of them may have reached this life.
+	earlierUntil time.Time
 	// doubtUntil is the moment until which a grant without an answer may still
 	// come into force.
 	doubtUntil time.Time
@@ -48,28 +51,39 @@
 	// taken says that the server has taken this keeper's grants. Before, an
 	// earlier keeper may still renew its own there after a release.
 	taken bool
-	// broken says that a grant failed. What answers at the address later may be
-	// another process: it is granted keys only under new fences.
+	// broken says that no connection to the process is left. What answers at the
+	// address may be a later life: it is granted keys only under new fences.
 	broken    bool
 	answering bool // the server answers at its address again
+	// leastFence is the lowest fence under which the process may be granted keys.
+	leastFence catalog.Fence
 	// refencedAt is when the server last got new fences after a failure.
 	refencedAt time.Time
 	silent     time.Time // since when the server takes no grants; zero while it does
 }
 
-func newHolder(c *caller, heldUntil time.Time) *holder {
-	return &holder{server: c.server, caller: c, releases: make(chan struct{}, releasesAtOnce), heldUntil: heldUntil}
+func newHolder(server *catalog.Server, c calls, heldUntil time.Time) *holder {
+	return &holder{server: server, calls: c, releases: make(chan struct{}, releasesAtOnce), heldUntil: heldUntil}
 }
 
-// sent notes the sending of a grant.
-func (h *holder) sent(at time.Time, hold time.Duration) {
-	if until := at.Add(runOut(hold)); until.After(h.heldUntil) {
-		h.heldUntil = until
+// after returns the later of two moments.
+func after(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
+}
+
+// sent notes a grant whose call ended at the given time: it may have left and
+// arrived at any time before.
+func (h *holder) sent(ended time.Time, hold time.Duration) {
+	h.heldUntil = after(h.heldUntil, ended.Add(runOut(hold)))
 }
 
 // free reports that the server surely holds no keys.
-func (h *holder) free(now time.Time) bool { return h.ended || now.After(h.heldUntil) }
+func (h *holder) free(now time.Time) bool {
+	return h.ended || (h.underWay == 0 && now.After(h.heldUntil))
+}
 
 // lost reports that the server does not take its grants.
 func (h *holder) lost() bool { return !h.silent.IsZero() }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -26,6 +26,7 @@
 const (
 	lookPeriod    = 250 * time.Millisecond // time between two looks at the keepers
 	askTimeout    = 250 * time.Millisecond // bound of one question to a keeper
+	yieldTimeout  = time.Second            // bound of asking a keeper to give up; it waits for its calls to servers
 	silentAsks    = 2                      // questions in a row without an answer that make a keeper silent
 	reportPeriod  = 400 * time.Millisecond // time between two reports of load to a keeper
 	reportTimeout = 400 * time.Millisecond
@@ -39,20 +40,48 @@
 const (
 	methodAsk    rpc.Method = "keeper.ask"
 	methodReport rpc.Method = "keeper.report"
+	methodYield  rpc.Method = "keeper.yield"
 )
 
+// beliefs are what the keeper must know of the store and of the other daemons.
+type beliefs interface {
+	// Self is this daemon.
+	Self() follow.Daemon
+	DaemonByName(name model.DaemonID) (follow.Daemon, bool)
+	// Candidates are the daemons that may follow the store, the first choice first.
+	Candidates() []follow.Daemon
+	Designated() bool
+	// StoreAge is the time since the store last answered this daemon.
+	StoreAge() time.Duration
+	OnStore() bool
+	// Registered reads a server's registration from the store.
+	Registered(ctx context.Context, id model.ServerID) (server *catalog.Server, found bool, err error)
+	// SharedRecord returns one of the system's own records, Refresh reads them anew
+	// and Learn takes one that this daemon wrote.
+	SharedRecord(name string) (platform.Record, bool)
+	Refresh(ctx context.Context)
+	Learn(c platform.Collection, r platform.Record)
+}
+
+var _ beliefs = (*follow.Follow)(nil)
+
 // Keeper takes and keeps the services that need one.
 type Keeper struct {
 	config   *config.Config
-	network  *netx.Network
-	dialect  dialect.Dialect
 	catalog  *catalog.Catalog
-	follow   *follow.Follow
+	follow   beliefs
 	feed     platform.Feed
 	client   *rpc.Client
 	backends *backends.Backends
 	log      *zap.Logger
 
+	// callsTo returns the calls to one life of a server.
+	callsTo func(*catalog.Server) calls
+	// ask asks another daemon about its keeping of a service.
+	ask func(context.Context, follow.Daemon, model.PoolName) (*askAnswer, error)
+	// yield asks another daemon to give up its keeping of a service.
+	yield func(context.Context, follow.Daemon, *yieldRequest) error
+
 	mu      sync.Mutex
 	tenders map[model.PoolName]*tender
 	watched map[model.PoolName]*watchedKeeper
@@ -76,8 +105,6 @@
 ) *Keeper {
 	k := &Keeper{
 		config:   c,
-		network:  network,
-		dialect:  d,
 		catalog:  cat,
 		follow:   f,
 		feed:     feed,
@@ -87,6 +114,10 @@
 		tenders:  map[model.PoolName]*tender{},
 		watched:  map[model.PoolName]*watchedKeeper{},
 	}
+	k.callsTo = func(server *catalog.Server) calls { return newCaller(d, network, server) }
+	k.ask = k.askDaemon
+	k.yield = k.yieldDaemon
+	rpc.Handle(server, methodYield, k.serveYield)
 	rpc.Handle(server, methodAsk, k.serveAsk)
 	rpc.Handle(server, methodReport, k.serveReport)
 	return k
--- a/internal/keeper/look.go
+++ b/internal/keeper/look.go
@@ -27,6 +27,14 @@
 	StoreAgeMS int64 `json:"store_age_ms"`
 }
 
+type yieldRequest struct {
+	Service model.PoolName `json:"service"`
+	// Term is the term of the keeper that asks.
+	Term model.Term `json:"term"`
+}
+
+type yieldAnswer struct{}
+
 // watchedKeeper is another daemon's keeping as this one sees it.
 type watchedKeeper struct {
 	revision  uint64
@@ -142,7 +150,7 @@
 	return w
 }
 
-func (k *Keeper) ask(ctx context.Context, d follow.Daemon, service model.PoolName) (*askAnswer, error) {
+func (k *Keeper) askDaemon(ctx context.Context, d follow.Daemon, service model.PoolName) (*askAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	return rpc.Call[askAnswer](ctx, k.client, d.Control, methodAsk, &askRequest{Service: service})
@@ -156,6 +164,41 @@
 	}, nil
 }
 
+// takeYield has the keeper of an earlier term give a service up, and reports that
+// it did: the grants that it gave last are then the last ones.
+func (k *Keeper) takeYield(ctx context.Context, d follow.Daemon, r *yieldRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
+	defer cancel()
+	if err := k.yield(ctx, d, r); err != nil {
+		k.log.Info("the earlier keeper was not heard", zap.String("peer", string(d.Name)), zap.String("service", string(r.Service)), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+func (k *Keeper) yieldDaemon(ctx context.Context, d follow.Daemon, r *yieldRequest) error {
+	_, err := rpc.Call[yieldAnswer](ctx, k.client, d.Control, methodYield, r)
+	return err
+}
+
+// serveYield ends this daemon's keeping of a service when another one has a later
+// term. It answers when nothing is granted any more.
+func (k *Keeper) serveYield(_ context.Context, r *yieldRequest) (*yieldAnswer, error) {
+	k.mu.Lock()
+	t := k.tenders[r.Service]
+	if t != nil && t.term() >= r.Term {
+		k.mu.Unlock()
+		return nil, errors.Errorf("term %d of service %s is not later than this keeper's", r.Term, r.Service)
+	}
+	delete(k.tenders, r.Service)
+	k.mu.Unlock()
+	if t != nil {
+		t.depose("another daemon keeps the keys", zap.Uint64("its_term", uint64(r.Term)))
+		t.stop()
+	}
+	return &yieldAnswer{}, nil
+}
+
 // create divides a service that has no record yet.
 func (k *Keeper) create(ctx context.Context, snapshot *catalog.Snapshot, service model.PoolName, w *watchedKeeper) {
 	if k.follow.Candidates()[0].Name != k.config.Name && time.Since(w.knownAt) < 3*createWait {
@@ -192,15 +235,24 @@
 	for i := range next.Ranges {
 		next.Ranges[i].Fence = nextFence(owners)
 	}
+	next.Unheard = owners.Unheard || !ended
 	othersUntil := time.Now().Add(runOut(k.hold()))
-	if !ended {
+	if next.Unheard {
 		othersUntil = othersUntil.Add(outageTending)
 	}
-	k.take(ctx, &next, othersUntil, why)
+	t := k.take(ctx, &next, othersUntil, why)
+	if t == nil || ended || owners.Unheard {
+		return
+	}
+	d, known := k.follow.DaemonByName(owners.Keeper)
+	if known && k.takeYield(ctx, d, &yieldRequest{Service: next.Service, Term: next.Term}) {
+		t.othersEndAt(time.Now().Add(runOut(k.hold())))
+	}
 }
 
-// take writes this daemon's keeping and begins to tend.
-func (k *Keeper) take(ctx context.Context, next *catalog.Owners, othersUntil time.Time, why string) {
+// take writes this daemon's keeping and begins to tend. It returns nil when the
+// write failed.
+func (k *Keeper) take(ctx context.Context, next *catalog.Owners, othersUntil time.Time, why string) *tender {
 	next.Keeper = k.config.Name
 	next.KeeperLife = k.follow.Self().Life
 	written, err := k.put(ctx, next)
@@ -209,13 +261,16 @@
 		if errors.Is(err, platform.ErrConflict) {
 			k.follow.Refresh(ctx)
 		}
-		return
+		return nil
 	}
 	k.log.Info("keys taken", zap.String("service", string(next.Service)), zap.String("why", why),
 		zap.Uint64("term", uint64(next.Term)), zap.Uint64("revision", written.Revision))
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.leaving {
-		k.tenders[next.Service] = newTender(k, written, othersUntil)
+	if k.leaving {
+		return nil
 	}
+	t := newTender(k, written, othersUntil)
+	k.tenders[next.Service] = t
+	return t
 }
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -105,7 +105,7 @@
 			h.nextAt = time.Time{}
 		}
 	}
-	t.balancedAt = time.Now().Add(failedPause)
+	t.movesAfter = time.Now().Add(failedPause)
 }
 
 // freedMove is a move whose source has let go.
@@ -122,13 +122,6 @@
 
 // releaseAll has the sources release the keys, and tells of each move.
 func (t *tender) releaseAll(moves []Move) <-chan releasedMove {
-	t.mu.Lock()
-	for _, m := range moves {
-		if m.Source != "" {
-			t.moving = append(t.moving, catalog.Range{From: m.From, To: m.To})
-		}
-	}
-	t.mu.Unlock()
 	results := make(chan releasedMove, len(moves))
 	for _, m := range moves {
 		t.done.Add(1)
@@ -157,7 +150,7 @@
 	t.mu.Lock()
 	fence, until := t.fenceOf(m.From), h.heldUntil
 	t.mu.Unlock()
-	result := h.caller.release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
+	result := h.calls.release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
 	switch {
 	case result.err == nil:
 		return &freedMove{Move: m, state: result.state}
@@ -181,7 +174,7 @@
 	for time.Now().Before(end) && t.ctx.Err() == nil {
 		t.mu.Lock()
 		h := t.holders[id]
-		usable := h != nil && h.calls == 0
+		usable := h != nil && h.underWay == 0
 		doubt := h == nil || time.Now().Before(h.doubtUntil)
 		t.mu.Unlock()
 		if usable && doubt {
@@ -213,6 +206,7 @@
 	}
 	next.Ranges = merge(next.Ranges, fence)
 	next.Load = t.load.points()
+	next.Unheard = time.Now().Before(t.othersUntil) && t.owners.Unheard
 	t.mu.Unlock()
 	written, err := t.keeper.put(t.ctx, &next)
 	if err == nil {
@@ -249,15 +243,14 @@
 	for _, m := range freed {
 		h := t.holders[m.Target.ID]
 		if h != nil && h.server.SameLife(m.Target) {
-			t.mend(h)
+			t.mend(h, t.fenceOf(m.From))
 		}
 		if h == nil || !h.server.SameLife(m.Target) {
 			server := snapshot.Servers[m.Target.ID]
 			if server == nil || !server.SameLife(m.Target) {
 				continue
 			}
-			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), time.Time{})
-			t.holders[m.Target.ID] = h
+			h = t.hold(server, time.Time{})
 		}
 		run := catalog.Range{From: m.From, To: m.To, Fence: t.fenceOf(m.From)}
 		t.begin(h, func(h *holder) { t.grantFirst(h, run, m.state) })
@@ -271,7 +264,7 @@
 	ended := t.hasEnded(h, err)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h.calls--
+	h.underWay--
 	if err != nil {
 		t.failed(h, err, ended)
 		t.log.Warn("new owner did not take its keys", zap.String("server", string(h.server.ID)),
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -46,6 +46,7 @@
 	carriers []*carrier
 	byID     map[model.ServerID]*carrier
 	moves    []Move
+	weighed  bool
 }
 
 // newPlanner returns a planner for the servers that may get keys.
@@ -57,12 +58,20 @@
 		p.byID[server.ID] = c
 	}
 	sort.Slice(p.carriers, func(i, j int) bool { return p.carriers[i].server.ID < p.carriers[j].server.ID })
+	return p
+}
+
+// weigh adds the carriers' loads up, before the first of them is looked at.
+func (p *planner) weigh() {
+	if p.weighed {
+		return
+	}
+	p.weighed = true
 	for _, r := range p.ranges {
 		if c := p.byID[r.Server]; c != nil {
-			c.load += l.of(r.From, r.To)
+			c.load += p.load.of(r.From, r.To)
 		}
 	}
-	return p
 }
 
 // divide returns ranges for a service that has none, equal by load and capacity.
@@ -104,6 +113,7 @@
 	if len(p.carriers) == 0 {
 		return
 	}
+	p.weigh()
 	usual := 0.0
 	for _, c := range p.carriers {
 		usual += c.load / float64(len(p.carriers))
@@ -143,6 +153,7 @@
 // balance moves keys from the servers that have too many requests for their
 // speed, one move a server at most in one round. movable says whether keys may leave a server now.
 func (p *planner) balance(movable func(model.ServerID) bool) {
+	p.weigh()
 	open := p.carriers
 	for range p.carriers {
 		average := averageUse(open)
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -29,6 +29,10 @@
 		if t.keeper.follow.StoreAge() < storeFresh {
 			t.confirmed = now
 		}
+		if owners := t.keeper.catalog.Load().Owners[t.service]; owners != nil && owners.Term > t.term() {
+			t.depose("another daemon keeps the keys", zap.Uint64("its_term", uint64(owners.Term)))
+			return
+		}
 		if silent := now.Sub(t.confirmed); silent > outageTending {
 			t.depose("no word from the store", zap.Duration("for", silent))
 			return
@@ -46,12 +50,14 @@
 		owning[r.Server] = true
 		server := snapshot.Servers[r.Server]
 		h := t.holders[r.Server]
+		if server != nil && server.Born != r.Born {
+			continue // another life: what the one before was granted runs out
+		}
 		if h == nil || h.server.Born != r.Born {
-			if server == nil || server.Born != r.Born {
+			if server == nil {
 				continue
 			}
-			h = newHolder(newCaller(t.keeper.dialect, t.keeper.network, server), t.othersUntil)
-			t.holders[r.Server] = h
+			h = t.hold(server, t.othersUntil)
 		}
 		if h.due(now) {
 			t.begin(h, t.renew)
@@ -60,12 +66,23 @@
 	t.checkLost(snapshot, owning, now)
 }
 
+// hold begins to grant keys to a life of a server. It runs under the lock.
+func (t *tender) hold(server *catalog.Server, heldUntil time.Time) *holder {
+	h := newHolder(server, t.keeper.callsTo(server), heldUntil)
+	h.earlierUntil = t.othersUntil
+	if earlier := t.holders[server.ID]; earlier != nil {
+		h.earlierUntil = after(earlier.heldUntil, earlier.earlierUntil)
+	}
+	t.holders[server.ID] = h
+	return h
+}
+
 // due reports that the server is to be called now.
-func (h *holder) due(now time.Time) bool { return h.calls == 0 && !now.Before(h.nextAt) }
+func (h *holder) due(now time.Time) bool { return h.underWay == 0 && !now.Before(h.nextAt) }
 
 // begin starts a call to a server. It runs under the lock.
 func (t *tender) begin(h *holder, call func(*holder)) {
-	h.calls++
+	h.underWay++
 	t.done.Add(1)
 	go func() {
 		defer t.done.Done()
@@ -77,11 +94,12 @@
 // forgets those that are not registered any more. It runs under the lock.
 func (t *tender) checkLost(snapshot *catalog.Snapshot, owning map[model.ServerID]bool, now time.Time) {
 	for id, h := range t.holders {
-		if owning[id] || h.calls > 0 || !h.free(now) {
+		if owning[id] || h.underWay > 0 || !h.free(now) || now.Before(h.earlierUntil) {
 			continue
 		}
 		registered := snapshot.Servers[id]
 		if registered == nil || !registered.SameLife(h.server) {
+			go h.calls.close()
 			delete(t.holders, id)
 			continue
 		}
@@ -96,15 +114,22 @@
 	err := t.check(h)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h.calls--
+	h.underWay--
 	h.nextAt = time.Now().Add(checkPeriod)
 	if err != nil {
 		return
 	}
+	t.renewCalls(h)
 	t.log.Info("server answers again", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
 	h.restore()
 }
 
+// renewCalls opens new connections to a server. It runs under the lock.
+func (t *tender) renewCalls(h *holder) {
+	go h.calls.close()
+	h.calls = t.keeper.callsTo(h.server)
+}
+
 // check asks a server for its health. A service that is not configured any more
 // has no path to ask at.
 func (t *tender) check(h *holder) error {
@@ -112,14 +137,14 @@
 	if service == nil {
 		return errors.Errorf("service %s is not configured", t.service)
 	}
-	return h.caller.check(t.ctx, service.HealthPath)
+	return h.calls.check(t.ctx, service.HealthPath)
 }
 
 // grantsOf returns the runs of a server that may be granted now. It runs under the lock.
 func (t *tender) grantsOf(h *holder) []catalog.Range {
 	var runs []catalog.Range
 	for _, r := range t.owners.Ranges {
-		if r.Server == h.server.ID && r.Born == h.server.Born {
+		if r.Server == h.server.ID && r.Born == h.server.Born && r.Fence >= h.leastFence {
 			runs = append(runs, without(r, t.moving)...)
 		}
 	}
@@ -164,7 +189,7 @@
 		ended := t.hasEnded(h, err)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		h.calls--
+		h.underWay--
 		h.nextAt = time.Now().Add(retryPeriod)
 		h.answering = err == nil
 		h.ended = h.ended || ended
@@ -179,11 +204,15 @@
 	ended := t.hasEnded(h, failure)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h.calls--
+	h.underWay--
 	h.nextAt = time.Now().Add(renewPeriod)
 	h.taken = failure == nil && len(runs) > 0
-	if failure != nil {
+	switch {
+	case failure != nil:
 		t.failed(h, failure, ended)
+	case h.taken && h.lost():
+		t.log.Info("server takes its keys again", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
+		h.restore()
 	}
 }
 
@@ -214,19 +243,23 @@
 // failed notes that a server did not take a grant. It runs under the lock.
 func (t *tender) failed(h *holder, failure error, ended bool) {
 	h.nextAt = time.Now().Add(retryPeriod)
-	h.broken, h.answering = true, false
+	if errors.Is(failure, errLineageLost) || errors.Is(failure, errNotListening) {
+		h.broken, h.answering = true, false
+	}
 	h.ended = h.ended || ended
-	if h.silent.IsZero() {
+	if !h.lost() {
 		h.silent = time.Now()
 		t.log.Warn("server does not take its keys", zap.String("server", string(h.server.ID)),
 			zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
 	}
 }
 
-// mend lets a server be granted keys again, under the new fences that it got.
-// It runs under the lock.
-func (t *tender) mend(h *holder) {
+// mend lets a server be granted keys again, whatever process it is now, under the
+// new fences that it got and higher ones. It runs under the lock.
+func (t *tender) mend(h *holder, fence catalog.Fence) {
 	if h.broken {
+		h.leastFence = fence
+		t.renewCalls(h)
 		h.refencedAt = time.Now()
 		t.log.Info("server gets its keys under new fences", zap.String("server", string(h.server.ID)), zap.Duration("after", time.Since(h.silent)))
 	}
@@ -243,12 +276,11 @@
 	if t.ctx.Err() != nil {
 		return t.ctx.Err()
 	}
-	began := time.Now()
 	hold := t.keeper.hold()
-	outcome, result := h.caller.grant(t.ctx, dialect.Grant{From: r.From, To: r.To, Fence: r.Fence, Hold: hold, State: state})
+	outcome, result := h.calls.grant(t.ctx, dialect.Grant{From: r.From, To: r.To, Fence: r.Fence, Hold: hold, State: state})
 	t.mu.Lock()
 	if result.sent {
-		h.sent(began, hold)
+		h.sent(time.Now(), hold)
 		if result.err != nil {
 			h.doubtUntil = h.heldUntil
 		}
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -18,9 +18,9 @@
 	goneGrace     = 2200 * time.Millisecond
 	massGone      = 0.3 // share of a service's owners whose disappearance looks like an outage
 	writeTimeout  = time.Second
-	outageTending = 12 * time.Second // renewals go on for this time without a word from the store
-	standStill    = time.Second      // a keeper that stood still for this time asks who keeps the keys
-	failedPause   = time.Second      // no keys move for balance for this time after a write failed
+	outageTending = 12 * time.Second       // renewals go on for this time without a word from the store
+	standStill    = time.Second            // a keeper that stood still for this time asks who keeps the keys
+	failedPause   = 300 * time.Millisecond // no keys move for this time after a write failed
 )
 
 // errDeposed says that another keeper has the service.
@@ -35,13 +35,14 @@
 	mu      sync.Mutex
 	owners  *catalog.Owners
 	holders map[model.ServerID]*holder
-	moving  []catalog.Range // runs that are being taken away: not renewed
+	moving  []catalog.Range // runs that change hands or fences: not renewed
 	load    *load
 	// othersUntil is the moment until which an earlier keeper may have grants in force.
 	othersUntil time.Time
 	goneAt      map[model.ServerID]time.Time
 	deposed     bool
 	balancedAt  time.Time
+	movesAfter  time.Time // no keys move before
 	confirmed   time.Time // the store last answered; used by renewLoop only
 
 	ctx    context.Context
@@ -81,6 +82,32 @@
 	t.load.add(stats)
 }
 
+// term counts the keepers up to this one.
+func (t *tender) term() model.Term {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.owners.Term
+}
+
+// othersEndAt notes that the earlier keeper has given up: its last grants have run
+// out at that time.
+func (t *tender) othersEndAt(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !until.Before(t.othersUntil) {
+		return
+	}
+	for _, h := range t.holders {
+		if h.heldUntil.Equal(t.othersUntil) {
+			h.heldUntil = until
+		}
+		if h.earlierUntil.Equal(t.othersUntil) {
+			h.earlierUntil = until
+		}
+	}
+	t.othersUntil = until
+}
+
 // isDeposed reports that the tender has ended by itself.
 func (t *tender) isDeposed() bool {
 	t.mu.Lock()
