keeper: releases while an earlier keeper may still move keys; more faults in the model

A keeper that gave up leaves its servers to be granted once more before they release. Model: keepers cut off from the store and the others, grants that arrive just after their sender gave them up, longer lapses. A grant that comes late does not shorten a newer one in the model: it let work outlast its lease, which the servers end.

--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -37,7 +37,7 @@
 	for _, r := range t.owners.Ranges {
 		t.planRange(p, snapshot, r, mass, now)
 	}
-	if len(p.moves) > 0 || now.Sub(t.balancedAt) < balancePeriod || t.load.counted < leastRequests {
+	if len(p.moves) > 0 || now.Sub(t.balancedAt) < balancePeriod || now.Before(t.othersMove) || t.load.counted < leastRequests {
 		return p.moves
 	}
 	t.balancedAt = now
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -40,7 +40,7 @@
 	"crash", "crash", "replaced at its address", "reborn", "leave", "leave", "silent", "lapse",
 	"store down", "store away from one", "lose writes", "late writes",
 	"lose grants", "late grants", "late releases",
-	"keeper killed", "keeper still", "work", "work", "work", "hot key", "hot key",
+	"lingering grants", "keeper killed", "keeper still", "keeper alone", "work", "work", "work", "hot key", "hot key",
 }
 
 func drawHistory(t *rapid.T) []event {
@@ -147,6 +147,12 @@
 		d.mu.Lock()
 		d.stillTill = time.Now().Add(e.length)
 		d.mu.Unlock()
+	case "keeper alone":
+		d := h.keepers[h.keeping()]
+		d.mu.Lock()
+		d.cutTill = time.Now().Add(2 * e.length)
+		d.aloneTill = d.cutTill
+		d.mu.Unlock()
 	case "store away from one":
 		d := h.keepers[e.which%len(h.keepers)]
 		d.mu.Lock()
@@ -172,7 +178,7 @@
 	case "lapse":
 		p := h.servers[e.which]
 		delete(h.registry, p.registered.ID)
-		time.AfterFunc(e.length, func() { h.register(p) })
+		time.AfterFunc(2*e.length, func() { h.register(p) })
 	case "store down":
 		h.storeDownTill = time.Now().Add(e.length)
 	case "lose writes":
@@ -183,6 +189,8 @@
 		h.loseGrants = 3
 	case "late grants":
 		h.lateGrants = 3
+	case "lingering grants":
+		h.lingering = 3
 	case "late releases":
 		h.lateReleases = 2
 	}
@@ -257,7 +265,7 @@
 		time.Sleep(e.pause)
 	}
 	h.mu.Lock()
-	h.storeDownTill, h.loseWrites, h.lateWrites, h.loseGrants, h.lateGrants, h.lateReleases = time.Time{}, 0, 0, 0, 0, 0
+	h.storeDownTill, h.loseWrites, h.lateWrites, h.loseGrants, h.lateGrants, h.lateReleases, h.lingering = time.Time{}, 0, 0, 0, 0, 0, 0
 	h.mu.Unlock()
 	time.Sleep(modelSettle)
 	if key, missing := h.unowned(); missing {
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -148,20 +148,21 @@
 	h.releases <- struct{}{}
 	defer func() { <-h.releases }()
 	t.mu.Lock()
-	fence, until := t.fenceOf(m.From), h.heldUntil
+	fence, until, othersMove := t.fenceOf(m.From), h.heldUntil, t.othersMove
 	t.mu.Unlock()
 	result := h.calls.release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
 	switch {
-	case result.err == nil:
+	case result.err == nil && time.Now().After(othersMove):
 		return &freedMove{Move: m, state: result.state}
 	case t.hasEnded(h, result.err):
 		return &freedMove{Move: m}
 	}
-	t.log.Warn("release not answered, waiting for the grants to run out", zap.String("server", string(m.Source)),
-		zap.Int("from", m.From), zap.Int("to", m.To), zap.Time("held_until", until), zap.Error(result.err))
+	t.log.Info("waiting for the grants to run out", zap.String("server", string(m.Source)),
+		zap.Int("from", m.From), zap.Int("to", m.To), zap.Time("held_until", until),
+		zap.Bool("earlier_keeper", time.Now().Before(othersMove)), zap.Error(result.err))
 	select {
 	case <-time.After(time.Until(until)):
-		return &freedMove{Move: m}
+		return &freedMove{Move: m, state: result.state}
 	case <-t.ctx.Done():
 		return nil
 	}
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -39,11 +39,14 @@
 	load    *load
 	// othersUntil is the moment until which an earlier keeper may have grants in force.
 	othersUntil time.Time
-	goneAt      map[model.ServerID]time.Time
-	deposed     bool
-	balancedAt  time.Time
-	movesAfter  time.Time // no keys move before
-	confirmed   time.Time // the store last answered; used by renewLoop only
+	// othersMove is the moment until which an earlier keeper may have servers
+	// release keys: an answered release does not tell that no work goes on.
+	othersMove time.Time
+	goneAt     map[model.ServerID]time.Time
+	deposed    bool
+	balancedAt time.Time
+	movesAfter time.Time // no keys move before
+	confirmed  time.Time // the store last answered; used by renewLoop only
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,6 +65,9 @@
 		goneAt:      map[model.ServerID]time.Time{},
 		confirmed:   time.Now(),
 	}
+	if owners.Unheard {
+		t.othersMove = time.Now().Add(storeFresh + runOut(k.hold()))
+	}
 	t.load.restore(owners.Load)
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.done.Add(2)
@@ -97,7 +103,9 @@
 	if !until.Before(t.othersUntil) {
 		return
 	}
+	t.othersMove = time.Time{}
 	for _, h := range t.holders {
+		h.taken = false // what the earlier keeper had it release comes back with the next grant
 		if h.heldUntil.Equal(t.othersUntil) {
 			h.heldUntil = until
 		}
--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -60,6 +60,21 @@
 	return left
 }
 
+// extend adds a grant to what is held. One that comes late does not shorten a
+// newer one.
+func extend(held []run, got run) []run {
+	pieces := []run{got}
+	for _, h := range held {
+		if h.meets(got.from, got.to) && h.until.After(got.until) {
+			pieces = cutOut(pieces, h.from, h.to)
+		}
+	}
+	for _, piece := range pieces {
+		held = append(cutOut(held, piece.from, piece.to), piece)
+	}
+	return held
+}
+
 // process is one life of a server.
 type process struct {
 	registered *catalog.Server
@@ -119,6 +134,7 @@
 	loseGrants    int
 	lateGrants    int
 	lateReleases  int
+	lingering     int // grants yet that arrive just after their caller gave them up
 	lateBy        time.Duration
 
 	broken []string
@@ -229,7 +245,7 @@
 	}
 	got := run{from: g.From, to: g.To, fence: g.Fence, until: until}
 	p.seen = append(cutOut(p.seen, g.From, g.To), got)
-	p.held = append(cutOut(p.held, g.From, g.To), got)
+	p.held = extend(p.held, got)
 	p.leased = append(p.leased, got)
 	return true
 }
@@ -301,6 +317,19 @@
 		return dialect.GrantRefused, callResult{err: errLineageLost}
 	case p.registered.ID != l.server.ID:
 		return dialect.GrantElsewhere, callResult{sent: true, status: http.StatusMisdirectedRequest, err: errors.Wrap(errNotListening, "another")}
+	case w.lingering > 0:
+		w.lingering--
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		time.AfterFunc(callSlack-time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !p.ended {
+				w.grant(p, g, time.Now())
+			}
+		})
+		return dialect.GrantRefused, callResult{sent: true, err: ctx.Err()}
 	case w.lateGrants > 0:
 		w.lateGrants--
 		time.AfterFunc(w.lateBy, func() {
@@ -387,6 +416,7 @@
 	storeAt   time.Time
 	stillTill time.Time // the process stands still
 	cutTill   time.Time // the store does not answer this daemon
+	aloneTill time.Time // the other daemons do not reach it
 	dead      bool
 	alive     context.Context
 	end       context.CancelFunc
@@ -625,12 +655,13 @@
 	}
 	d.world.mu.Unlock()
 	target.mu.Lock()
-	dead, still := target.dead, time.Now().Before(target.stillTill)
+	now := time.Now()
+	dead, unheard := target.dead, now.Before(target.stillTill) || now.Before(target.aloneTill)
 	target.mu.Unlock()
 	switch {
 	case dead:
 		return nil, errors.Wrap(syscall.ECONNREFUSED, "call")
-	case still:
+	case unheard:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
