entry: the test bench's answer is set under its lock

Cause: go test -race ./internal/entry reported a race in TestCallerThatLeavesCancelsItsRequest (the answer was replaced while a connection read it). Change: answerWith sets it, serveConn takes it, both under the lock.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -50,13 +50,17 @@
 	body   []byte
 }
 
+// answerer returns the raw bytes of an answer; the connection is closed after them.
+type answerer func(number int, g got) string
+
 // bench is an entry in front of a fake dispatcher.
 type bench struct {
 	entry   *Entry
 	address string
-	answer  func(number int, g got) string // raw bytes; the connection is closed after them
-	mu      sync.Mutex
-	got     []got
+
+	mu     sync.Mutex
+	answer answerer
+	got    []got
 }
 
 func startBench(t testing.TB) *bench {
@@ -99,6 +103,13 @@
 	return dir
 }
 
+// answerWith sets what the fake dispatcher answers from now on.
+func (b *bench) answerWith(answer answerer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = answer
+}
+
 func (b *bench) serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -121,10 +132,10 @@
 	}
 	b.mu.Lock()
 	b.got = append(b.got, g)
-	number := len(b.got)
+	number, answer := len(b.got), b.answer
 	b.mu.Unlock()
 	if g.body != nil {
-		_, _ = io.WriteString(conn, withID(b.answer(number, g), g.header.Get(wire.HeaderRequestID)))
+		_, _ = io.WriteString(conn, withID(answer(number, g), g.header.Get(wire.HeaderRequestID)))
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -28,11 +28,11 @@
 		"large":   fixed(largeBody),
 		"both":    chunked(largeBody),
 	} {
-		b.answer = func(int, got) string { return whole }
+		b.answerWith(func(int, got) string { return whole })
 		must.Eq(t, 200, b.send(t, get("/drafts/a")).status, must.Sprint(name))
 		rapid.Check(t, func(r *rapid.T) {
 			cut := rapid.IntRange(0, len(whole)-1).Draw(r, "cut")
-			b.answer = func(int, got) string { return whole[:cut] }
+			b.answerWith(func(int, got) string { return whole[:cut] })
 			if seen := b.send(t, get("/drafts/a")); seen.status == 200 {
 				r.Fatalf("%s: cut at byte %d of %d and taken for whole", name, cut, len(whole))
 			}
@@ -44,11 +44,11 @@
 	b := startBench(t)
 	wrong := wire.HeaderBodySHA256 + ": " + digestOf([]byte("another"))
 	for _, answer := range []string{fixed("the answer", wrong), chunked("the answer", wrong), fixed(largeBody, wrong), chunked(largeBody, wrong)} {
-		b.answer = func(int, got) string { return answer }
+		b.answerWith(func(int, got) string { return answer })
 		must.NotEq(t, 200, b.send(t, get("/drafts/a")).status)
 	}
 	right := wire.HeaderBodySHA256 + ": " + digestOf([]byte(largeBody))
-	b.answer = func(int, got) string { return fixed(largeBody, right) }
+	b.answerWith(func(int, got) string { return fixed(largeBody, right) })
 	must.Eq(t, 200, b.send(t, get("/drafts/a")).status)
 }
 
@@ -58,7 +58,7 @@
 
 func TestUploadCutAtAnyByteNeverCompletes(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("stored") }
+	b.answerWith(func(int, got) string { return fixed("stored") })
 	whole := put(largeBody, "", "Content-Length: "+strconv.Itoa(len(largeBody)))
 	must.Eq(t, 200, b.send(t, whole).status)
 	must.Eq(t, largeBody, string(b.received()[0].body))
@@ -83,7 +83,7 @@
 
 func TestUploadWithAnotherDigestIsRefused(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("stored") }
+	b.answerWith(func(int, got) string { return fixed("stored") })
 	wrong := wire.HeaderBodySHA256 + ": " + digestOf([]byte("another"))
 	small := b.send(t, put("small", "", "Content-Length: 5", wrong))
 	must.Eq(t, reason.DigestMismatch, small.reason.Code)
@@ -99,7 +99,7 @@
 
 func TestCallersCantForgeInternalHeaders(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("x", "X-Server-Load: 1/3", "Keep-Alive: timeout=5") }
+	b.answerWith(func(int, got) string { return fixed("x", "X-Server-Load: 1/3", "Keep-Alive: timeout=5") })
 	answer := b.send(t, get("/drafts/a?q=1",
 		"X-Chicorylug-Epoch: 99", "x-chicorylug-server: s9", "X-Chicorylug-Made-Up: 1", "X-Server-Not-Run: 1",
 		"X-Request-Id: mine", "Connection: X-Secret, Content-Length", "X-Secret: 1", "TE: trailers", "Expect: nothing", "X-Kept: 1"))
@@ -117,7 +117,7 @@
 
 func TestRequestsThatAreRefused(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("x") }
+	b.answerWith(func(int, got) string { return fixed("x") })
 	for raw, code := range map[string]reason.Code{
 		get("/drafts/a%2Fb"):                           reason.BadRequest,
 		get("/drafts/../drafts/a"):                     reason.BadRequest,
@@ -150,7 +150,7 @@
 
 func TestKeyHasOneSpelling(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("x") }
+	b.answerWith(func(int, got) string { return fixed("x") })
 	for _, path := range []string{"/drafts/order-17", "/drafts/order%2D17", "/drafts/%6frder-17?q"} {
 		must.Eq(t, 200, b.send(t, get(path)).status)
 	}
@@ -161,20 +161,20 @@
 
 func TestHeadNoContentAndContinue(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n" }
+	b.answerWith(func(int, got) string { return "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n" })
 	head := b.send(t, "HEAD /drafts/a HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.Eq(t, 200, head.status)
 	must.Eq(t, "77", head.header.Get("Content-Length"))
-	b.answer = func(int, got) string { return "HTTP/1.1 204 No Content\r\n\r\n" }
+	b.answerWith(func(int, got) string { return "HTTP/1.1 204 No Content\r\n\r\n" })
 	must.Eq(t, 204, b.send(t, get("/drafts/a")).status)
-	b.answer = func(int, got) string { return "HTTP/1.1 304 Not Modified\r\nETag: \"e\"\r\n\r\n" }
+	b.answerWith(func(int, got) string { return "HTTP/1.1 304 Not Modified\r\nETag: \"e\"\r\n\r\n" })
 	must.Eq(t, 304, b.send(t, get("/drafts/a")).status)
 
 	conn, err := net.Dial("tcp", b.address)
 	must.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	b.received()
-	b.answer = func(_ int, g got) string { return fixed(string(g.body)) }
+	b.answerWith(func(_ int, g got) string { return fixed(string(g.body)) })
 	_, _ = io.WriteString(conn, put("", "", "Content-Length: 5", "Expect: 100-continue"))
 	interim := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
 	_, err = io.ReadFull(conn, interim)
@@ -186,7 +186,7 @@
 
 func TestMultipartAndChunkedBodiesPassUnchanged(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(_ int, g got) string { return fixed(string(g.body)) }
+	b.answerWith(func(_ int, g got) string { return fixed(string(g.body)) })
 	form := "--b\r\nContent-Disposition: form-data; name=\"f\"; filename=\"n\"\r\n\r\ndata\r\n--b--\r\n"
 	answer := b.send(t, put(form, "", "Content-Type: multipart/form-data; boundary=b", "Content-Length: "+strconv.Itoa(len(form))))
 	must.Eq(t, form, string(answer.body))
@@ -196,11 +196,11 @@
 
 func TestRefusalForAnotherRequestIsNotBelieved(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string {
+	b.answerWith(func(int, got) string {
 		refusal := reason.New(reason.QueueFull, "queue", "s1", "full")
 		refusal.RequestID = "another"
 		return strings.Replace(fixed(string(refusal.JSON()), wire.HeaderReason+": queue_full"), "200 OK", "429 x", 1)
-	}
+	})
 	answer := b.send(t, put("x", "", "Content-Length: 1"))
 	must.Eq(t, reason.DispatcherLost, answer.reason.Code)
 	must.Eq(t, reason.Unknown, answer.reason.Outcome)
@@ -208,7 +208,7 @@
 
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return fixed("another's", wire.HeaderRequestID+": another") }
+	b.answerWith(func(int, got) string { return fixed("another's", wire.HeaderRequestID+": another") })
 	answer := b.send(t, put("x", "", "Content-Length: 1"))
 	must.Eq(t, reason.DispatcherLost, answer.reason.Code)
 	must.Eq(t, reason.Unknown, answer.reason.Outcome)
@@ -216,7 +216,7 @@
 
 func TestLargeHeadersPassOrAreRefused(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(_ int, g got) string { return fixed("x", "X-Large: "+g.header.Get("X-Large")) }
+	b.answerWith(func(_ int, g got) string { return fixed("x", "X-Large: "+g.header.Get("X-Large")) })
 	large := strings.Repeat("h", maxHeaderBytes*3/4)
 	answer := b.send(t, get("/drafts/a", "X-Large: "+large))
 	must.Nil(t, answer.reason, must.Sprintf("%.300v", answer.reason))
@@ -229,11 +229,11 @@
 	b := startBench(t)
 	reached := make(chan struct{}, 1)
 	released := make(chan struct{})
-	b.answer = func(int, got) string {
+	b.answerWith(func(int, got) string {
 		reached <- struct{}{}
 		<-released
 		return fixed("late")
-	}
+	})
 	conn, err := net.Dial("tcp", b.address)
 	must.NoError(t, err)
 	_, _ = io.WriteString(conn, get("/drafts/a"))
@@ -244,13 +244,13 @@
 	}
 	must.NotNil(t, b.entry.metrics.Map("refusals").Get(string(reason.CallerGone)))
 	close(released)
-	b.answer = func(int, got) string { return fixed("own") }
+	b.answerWith(func(int, got) string { return fixed("own") })
 	must.Eq(t, "own", string(b.send(t, get("/drafts/a")).body))
 }
 
 func TestOnceRequestsAreNotSentAgain(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(int, got) string { return "" }
+	b.answerWith(func(int, got) string { return "" })
 	post := "POST /drafts/a HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"
 	must.Eq(t, reason.Unknown, b.send(t, post).reason.Outcome)
 	must.Eq(t, reason.OutcomeUnknown, b.send(t, post).reason.Code)
@@ -261,14 +261,14 @@
 
 func TestEarlierAttemptThatMayHaveRunDecidesTheOutcome(t *testing.T) {
 	b := startBench(t)
-	b.answer = func(number int, g got) string {
+	b.answerWith(func(number int, g got) string {
 		if number == 1 {
 			return ""
 		}
 		refusal := reason.New(reason.QueueFull, "queue", "s1", "full")
 		refusal.RequestID = model.RequestID(g.header.Get(wire.HeaderRequestID))
 		return strings.Replace(fixed(string(refusal.JSON()), wire.HeaderReason+": queue_full"), "200 OK", "429 x", 1)
-	}
+	})
 	answer := b.send(t, get("/drafts/a"))
 	must.Eq(t, reason.QueueFull, answer.reason.Code)
 	must.Eq(t, reason.Unknown, answer.reason.Outcome)
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -13,14 +13,14 @@
 // The request that waits for it then gets the late answer, others get "again".
 func silentDispatcher(b *bench) (release func()) {
 	released := make(chan struct{})
-	b.answer = func(number int, g got) string {
+	b.answerWith(func(number int, g got) string {
 		if number == 1 {
 			<-released
 			return fixed("late")
 		}
 		<-released
 		return fixed("again")
-	}
+	})
 	return func() { close(released) }
 }
 
