follow: seeds that are down cost a start little time

Cause: with all daemons starting together the configuration still came 0.61 s after the start: two seeds whose machines were dark were dialled one after the other, 0.3 s each. Dials do not end with their call. Change: seeds are asked in random order, off to the side; after 0.1 s without an answer the store is asked too. A start during an outage of the store goes on asking both.

--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	peerWait       = 600 * time.Millisecond  // a daemon's answer without a change comes after this
 	peerTimeout    = 900 * time.Millisecond  // bound of one wait for a daemon
 	joinPause      = 150 * time.Millisecond  // pause after a change, in which further ones join it
+	seedTimeout    = 100 * time.Millisecond  // the store is asked too when no seed has answered
 	firstPause     = 400 * time.Millisecond  // time for the other daemons of a new system to register
 	failurePause   = 300 * time.Millisecond  // pause after a failed call to the store
 	strangerPause  = time.Second             // the same for a daemon that is not designated to follow it
@@ -51,8 +53,9 @@
 
 // run registers this daemon and follows until ctx ends.
 func (f *Follow) run(ctx context.Context) {
-	f.askSeeds(ctx)
-	f.readUnknown(ctx)
+	for !f.learnAll(ctx) && ctx.Err() == nil {
+		pause(ctx, failurePause)
+	}
 	f.register(ctx)
 	f.awaitOthers(ctx)
 	for ctx.Err() == nil {
@@ -66,10 +69,36 @@
 	}
 }
 
-// askSeeds takes what the seeds know, for a start during which the store does not answer.
+// learnAll takes all collections from a seed or from the store. It reports false
+// when neither gave them.
+func (f *Follow) learnAll(ctx context.Context) bool {
+	f.askSeeds(ctx)
+	return f.readUnknown(ctx)
+}
+
+// askSeeds takes what a seed knows, which spares the store, and helps a start
+// during which it does not answer. Seeds that are down too cost little time: they
+// are tried further on while the store is asked.
 func (f *Follow) askSeeds(ctx context.Context) {
-	for _, seed := range f.config.Seeds {
-		if seed == f.config.ControlAddress {
+	done := make(chan struct{})
+	f.background.Go(func(ctx context.Context) {
+		defer close(done)
+		f.askOneSeed(ctx)
+	})
+	timer := time.NewTimer(seedTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// askOneSeed asks the seeds in random order until one answers.
+func (f *Follow) askOneSeed(ctx context.Context) {
+	for _, i := range rand.Perm(len(f.config.Seeds)) {
+		seed := f.config.Seeds[i]
+		if seed == f.config.ControlAddress || ctx.Err() != nil {
 			continue
 		}
 		if _, err := f.poll(ctx, seed, 0); err == nil {
@@ -78,9 +107,10 @@
 	}
 }
 
-// readUnknown reads what the seeds did not tell.
-func (f *Follow) readUnknown(ctx context.Context) {
+// readUnknown reads what the seeds did not tell. It reports that all is known.
+func (f *Follow) readUnknown(ctx context.Context) bool {
 	var all sync.WaitGroup
+	var failed atomic.Bool
 	for _, c := range collections {
 		if f.replicas[c].known() > 0 {
 			continue
@@ -89,11 +119,13 @@
 		go func() {
 			defer all.Done()
 			if err := f.read(ctx, c); err != nil {
+				failed.Store(true)
 				f.log.Warn("records not read", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 			}
 		}()
 	}
 	all.Wait()
+	return !failed.Load()
 }
 
 // awaitOthers gives the other daemons of a new system time to register.
