--- a/internal/keeper/world_test.go
+++ b/internal/keeper/world_test.go
@@ -25,8 +25,9 @@
 
 const (
 	modelService = model.PoolName("drafts")
-	modelDelay   = 2 * time.Millisecond // of a message
-	slowClock    = 1.02                 // a slow server's second, in seconds
+	modelDelay   = 2 * time.Millisecond  // of a message
+	modelLinger  = 95 * time.Millisecond // a call that was given up is still on its way for this time
+	slowClock    = 1.02                  // a slow server's second, in seconds
 )
 
 // run is a run of keys that a server holds, held or works on.
@@ -322,7 +323,7 @@
 		w.mu.Unlock()
 		<-ctx.Done()
 		w.mu.Lock()
-		time.AfterFunc(callSlack-time.Millisecond, func() {
+		time.AfterFunc(modelLinger, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if !p.ended {
