--- a/internal/keeper/doc.go
+++ b/internal/keeper/doc.go
@@ -8,5 +8,6 @@
 // the same servers under higher fences, which ends the old keeper's grants.
 //
 // Keys move from a server only after it has released them, or after its process
-// has ended, or after every grant that it may have got has run out.
+// has ended, or after every grant that it may have got has run out. Grants under
+// one fence go to one process only: see lineage.
 package keeper
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -150,7 +150,7 @@
 	t.mu.Lock()
 	fence, until, othersMove := t.fenceOf(m.From), h.heldUntil, t.othersMove
 	t.mu.Unlock()
-	result := h.calls.release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
+	result := t.callsOf(h).release(t.ctx, max(time.Until(until), leastRelease), m.From, m.To, fence)
 	switch {
 	case result.err == nil && time.Now().After(othersMove):
 		return &freedMove{Move: m, state: result.state}
--- a/internal/keeper/tender.go
+++ b/internal/keeper/tender.go
@@ -79,6 +79,11 @@
 func (t *tender) stop() {
 	t.cancel()
 	t.done.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.holders {
+		h.calls.close()
+	}
 }
 
 // report takes what a daemon saw.
