--- a/internal/cli/trace_test.go
+++ b/internal/cli/trace_test.go
@@ -19,7 +19,7 @@
 
 const secondLog = `prefix {"level":"info","ts":"2026-06-25T07:24:14.1Z","logger":"keeper","msg":"keys moved","daemon":"d2","service":"s","what":["[46000,47000,\"a\",\"b\"]","[1,2,\"a\",\"b\"]"]}
 {"level":"info","ts":"2026-06-25T07:24:14.2Z","logger":"gateway","msg":"send failed","daemon":"d2","request":"r1","service":"s"}
-{"level":"warn","ts":"2026-06-25T07:24:14.0Z","logger":"keeper","msg":"keys not released","daemon":"d2","service":"other","from":46642,"to":46650}
+{"level":"warn","ts":"2026-06-25T07:24:14.0Z","logger":"keeper","msg":"waiting for the grants to run out","daemon":"d2","service":"other","from":46642,"to":46650}
 `
 
 func trace(t *testing.T, args ...string) (int, []string) {
@@ -44,7 +44,7 @@
 	code, lines := trace(t, "--key", "46642")
 	must.Eq(t, cli.ExitOK, code)
 	must.SliceLen(t, 3, lines)
-	must.StrContains(t, lines[0], "keys not released")
+	must.StrContains(t, lines[0], "waiting for the grants to run out")
 	must.StrContains(t, lines[1], "keys moved")
 	must.StrContains(t, lines[2], "request refused")
 	_, lines = trace(t, "--key", "46642", "--service", "s")
