daemon: two tests of keys that wait for work share their steps

Cause: reading the change again: the two tests differed in the length of the work and in how the server leaves, and repeated all else. Change: keysWaitForWork; the same steps, bounds and checks. No product code.

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -410,46 +410,38 @@
 	w.unbroken()
 }
 
-// Keys on which a server works for long go elsewhere only when the work has ended.
-func TestKeysWaitForTheWorkOnThem(t *testing.T) {
-	w := newWorld(t, 2, 3, 1)
+// keysWaitForWork has the owner of a key leave while it works on it, and checks
+// that the key goes elsewhere and that the work is answered.
+func (w *world) keysWaitForWork(work time.Duration, leave func(owner *fenced.Server)) {
 	const key = 30_000
 	owner := w.ownerOf(key)
-	owner.SetFaults(fenced.Faults{MoreWork: 1600 * time.Millisecond})
+	owner.SetFaults(fenced.Faults{MoreWork: work})
 	answered := make(chan answer, 1)
 	go func() { answered <- w.send(w.daemons[0], "GET", "/read/x", key, "") }()
 	time.Sleep(100 * time.Millisecond)
-	owner.Leave()
+	leave(owner)
 	w.await("another owner", func() error {
 		if next := w.ownerOf(key); next == nil || next == owner {
 			return fmt.Errorf("no other owner of key %d yet", key)
 		}
 		return nil
 	})
-	must.Eq(t, 200, (<-answered).status)
+	must.Eq(w.t, 200, (<-answered).status)
 	w.unbroken()
 }
 
+// Keys on which a server works for long go elsewhere only when the work has ended.
+func TestKeysWaitForTheWorkOnThem(t *testing.T) {
+	newWorld(t, 2, 3, 1).keysWaitForWork(1600*time.Millisecond, (*fenced.Server).Leave)
+}
+
 // A leaving server stops listening before its last work has ended. A refused
 // connection does not tell that it works no longer.
 func TestKeysOfALeavingServerThatListensNoMoreWaitForItsWork(t *testing.T) {
-	w := newWorld(t, 2, 3, 1)
-	const key = 30_000
-	owner := w.ownerOf(key)
-	owner.SetFaults(fenced.Faults{MoreWork: 1200 * time.Millisecond})
-	answered := make(chan answer, 1)
-	go func() { answered <- w.send(w.daemons[0], "GET", "/read/x", key, "") }()
-	time.Sleep(100 * time.Millisecond)
-	owner.Leave()
-	owner.StopListening()
-	w.await("another owner", func() error {
-		if next := w.ownerOf(key); next == nil || next == owner {
-			return fmt.Errorf("no other owner of key %d yet", key)
-		}
-		return nil
+	newWorld(t, 2, 3, 1).keysWaitForWork(1200*time.Millisecond, func(owner *fenced.Server) {
+		owner.Leave()
+		owner.StopListening()
 	})
-	must.Eq(t, 200, (<-answered).status)
-	w.unbroken()
 }
 
 // The keys of a server that is silent go elsewhere only when its grants have run out.
