--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -56,7 +56,7 @@
 		dialect:     d,
 		catalog:     cat,
 		fleetSize:   fleetSize,
-		retryBudget: NewRetryBudget(c.Fenced.RepeatShare, float64(c.Fenced.RepeatExtra), fleetSize),
+		retryBudget: NewRetryBudget(c.Fenced.RepeatShare, c.Fenced.RepeatExtra, fleetSize),
 		stats:       newStats(),
 		log:         log.Named("backends"),
 		endpoints:   map[model.ServerID]*endpoint{},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,7 +60,7 @@
 	ReadinessAddress string `json:"readiness_address"`
 	MetricsAddress   string `json:"metrics_address,omitempty"`
 	// MemoryMB is the memory limit of the process, in mebibytes.
-	MemoryMB int `json:"memory_mb"`
+	MemoryMB float64 `json:"memory_mb"`
 	// Cores is the number of processor cores that the process may use, which may be
 	// a fraction. Daemons with more cores take on more of the fleet's work.
 	Cores float64 `json:"cores"`
@@ -68,14 +68,18 @@
 	GraceSeconds float64 `json:"grace_seconds"`
 	// RepeatShare bounds the retries to a service as a fraction of the first
 	// attempts, over the whole fleet. RepeatExtra is the number of retries by which
-	// a burst may exceed that share.
+	// a burst may exceed that share, perhaps a fraction.
+	// They default to DefaultRepeatShare and DefaultRepeatExtra.
 	RepeatShare float64 `json:"repeat_share"`
-	RepeatExtra int     `json:"repeat_extra"`
+	RepeatExtra float64 `json:"repeat_extra"`
 	// MaxHoldSeconds bounds the time for which a server may own keys without
-	// renewal of its grant.
+	// renewal of its grant. It defaults to DefaultMaxHoldSeconds.
 	MaxHoldSeconds float64 `json:"max_hold_seconds"`
 }
 
+// MemoryBytes returns MemoryMB in bytes.
+func (f *Fenced) MemoryBytes() int64 { return int64(f.MemoryMB * (1 << 20)) }
+
 // Embedded describes the simulated parts of a trial installation.
 type Embedded struct {
 	// SettingsFile is the file with the settings tree to accept at the start. Like
@@ -101,8 +105,18 @@
 	KeyFile    string `json:"key_file,omitempty"`
 }
 
-// DefaultShutdownSeconds is the default of Config.ShutdownSeconds.
-const DefaultShutdownSeconds = 300
+// Defaults of settings that may be left out.
+const (
+	DefaultShutdownSeconds = 300 // of Config.ShutdownSeconds
+	DefaultGraceSeconds    = 6   // of Fenced.GraceSeconds
+	DefaultRepeatShare     = 0.1 // of Fenced.RepeatShare
+	DefaultRepeatExtra     = 100 // of Fenced.RepeatExtra
+	DefaultMaxHoldSeconds  = 10  // of Fenced.MaxHoldSeconds
+)
+
+// minGraceSeconds is the shortest grace period in which requests in progress can end
+// before the process is killed.
+const minGraceSeconds = 1
 
 // Load reads and checks a configuration file. Errors in its content are of type
 // jsonc.Problems.
@@ -122,7 +136,7 @@
 		return nil, err
 	}
 	c := &Config{LogLevel: "info", ShutdownSeconds: DefaultShutdownSeconds}
-	if err := doc.Decode(c); err != nil {
+	if err := decode(doc, c); err != nil {
 		return nil, err
 	}
 	c.resolveFiles(filepath.Dir(file))
@@ -132,6 +146,21 @@
 	return c, nil
 }
 
+// decode decodes the document into c. Settings that the document leaves out keep the
+// values that c has, or get the defaults of Fenced.
+func decode(doc *jsonc.Document, c *Config) error {
+	if err := doc.Decode(c); err != nil || c.Fenced == nil {
+		return err
+	}
+	c.Fenced = &Fenced{
+		GraceSeconds:   DefaultGraceSeconds,
+		RepeatShare:    DefaultRepeatShare,
+		RepeatExtra:    DefaultRepeatExtra,
+		MaxHoldSeconds: DefaultMaxHoldSeconds,
+	}
+	return doc.Decode(c)
+}
+
 // resolveFiles joins relative paths of other files with the folder of the
 // configuration file.
 func (c *Config) resolveFiles(dir string) {
@@ -279,19 +308,19 @@
 		}
 	}
 	if f.MemoryMB < 1 {
-		report("fenced.memory_mb", "found %d, want 1 or more", f.MemoryMB)
+		report("fenced.memory_mb", "found %v, want 1 or more", f.MemoryMB)
 	}
 	if f.Cores <= 0 {
 		report("fenced.cores", "found %v, want more than 0", f.Cores)
 	}
-	if f.GraceSeconds < 1 {
-		report("fenced.grace_seconds", "found %v, want 1 or more", f.GraceSeconds)
+	if f.GraceSeconds < minGraceSeconds {
+		report("fenced.grace_seconds", "found %v, want %d or more", f.GraceSeconds, minGraceSeconds)
 	}
 	if f.RepeatShare < 0 {
 		report("fenced.repeat_share", "found %v, want 0 or more", f.RepeatShare)
 	}
 	if f.RepeatExtra < 0 {
-		report("fenced.repeat_extra", "found %d, want 0 or more", f.RepeatExtra)
+		report("fenced.repeat_extra", "found %v, want 0 or more", f.RepeatExtra)
 	}
 	if f.MaxHoldSeconds <= 0 {
 		report("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
--- a/internal/daemon/fenced.go
+++ b/internal/daemon/fenced.go
@@ -31,7 +31,7 @@
 // provideFenced registers the services of a fenced daemon, whose backend servers
 // check themselves, by fences, whether they own a key.
 func (d *Daemon) provideFenced() error {
-	debug.SetMemoryLimit(int64(d.config.Fenced.MemoryMB) << 20 * memoryLimitPercent / 100)
+	debug.SetMemoryLimit(d.config.Fenced.MemoryBytes() * memoryLimitPercent / 100)
 	for _, constructor := range []any{
 		catalog.New,
 		rpc.NewServer,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 		selector:     newServiceSelector(),
 		log:          log.Named(string(ServiceName)),
 		meters:       newMeters(registry),
-		maxBodyBytes: int64(c.Fenced.MemoryMB) << 20 / bodyMemoryDivisor,
+		maxBodyBytes: c.Fenced.MemoryBytes() / bodyMemoryDivisor,
 	}
 }
 
