poison: popular requests are not refused when servers crash in a herd; two flaky tests traced

Cause: the gateway reports each request that was running at a crash on its own. Two crashes within ten minutes with the same path and body in flight were enough to refuse it everywhere, also while copies of it completed all the time; a refused request never ran again, so nothing cleared it (TestOneOwnerUnderRandomFaults: 503 suspected_crash, one fingerprint, two servers crashed by the test). TestLaterProcessIsNotReachedOnSpareConnection: its listener could accept a connection while it was stopped and leave it open.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -96,7 +96,7 @@
 		return ""
 	}
 	d.reportFailure(s, &httplink.Failure{Stage: httplink.StageDial, Peer: s.address, Err: err})
-	crash := d.poison.Report(s.ref, running, time.Now())
+	crash := d.poison.Report(s.ref, 0, running, time.Now())
 	s.crash.recordCrash(crash, time.Now())
 	d.journal.Add(journal.Event{
 		Kind:    journal.RequestSuspected,
--- a/internal/dispatcher/handle.go
+++ b/internal/dispatcher/handle.go
@@ -69,7 +69,7 @@
 // classifyFailure returns the refusal for a failed exchange without regard to its
 // outcome, and reports a server that could not be reached or whose process ended.
 func (r *request) classifyFailure(failure *httplink.Failure, peer string) *reason.Error {
-	if r.attempt.Err() != nil {
+	if r.attemptOver() {
 		return r.attemptRefusal(failure.Error())
 	}
 	if failure.ShortUpload {
@@ -85,6 +85,18 @@
 	return r.connectionLost(failure)
 }
 
+// deadlineTolerance is the time before an attempt's deadline from which on the server
+// may already have given up: it gets the time left in whole milliseconds and closes the
+// connection then, just before the timer of this daemon fires.
+const deadlineTolerance = 5 * time.Millisecond
+
+// attemptOver reports whether the attempt has ended, or its deadline is so close that
+// the server has given up.
+func (r *request) attemptOver() bool {
+	deadline, limited := r.attempt.Deadline()
+	return r.attempt.Err() != nil || (limited && time.Until(deadline) < deadlineTolerance)
+}
+
 // attemptRefusal returns the refusal for the end of the attempt's context.
 func (r *request) attemptRefusal(detail string) *reason.Error {
 	peer := r.work.Server.String()
--- a/internal/dispatcher/request_test.go
+++ b/internal/dispatcher/request_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"bufio"
 	"net"
 	"strconv"
@@ -180,3 +181,16 @@
 		must.Eq(t, "/after", run.Path)
 	}
 }
+
+// A server that gives up at the attempt's deadline may close the connection just before
+// the dispatcher's own timer fires: that is a timeout, not a lost server.
+func TestConnectionClosedAtDeadlineIsATimeout(t *testing.T) {
+	for _, c := range []struct {
+		left     time.Duration
+		expected bool
+	}{{deadlineTolerance / 2, true}, {time.Minute, false}} {
+		attempt, cancel := context.WithTimeout(context.Background(), c.left)
+		must.Eq(t, c.expected, (&request{attempt: attempt}).attemptOver())
+		cancel()
+	}
+}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -85,7 +85,7 @@
 // truncatedResponse returns the refusal for a response that ended early: the attempt
 // ended, the server crashed, or the server sent too few bytes.
 func (r *request) truncatedResponse(err error) *reason.Error {
-	if r.attempt.Err() != nil {
+	if r.attemptOver() {
 		refusal := r.attemptRefusal(err.Error())
 		refusal.Outcome = reason.Unknown
 		return refusal
--- a/internal/keeper/processconns_test.go
+++ b/internal/keeper/processconns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,9 +19,12 @@
 // end of a process does.
 type listener struct {
 	net.Listener
-	conns  atomic.Pointer[[]net.Conn]
 	server *fasthttp.Server
 	calls  atomic.Int64
+
+	mu      sync.Mutex
+	conns   []net.Conn
+	stopped bool
 }
 
 func startListener(t *testing.T, address string, handler func(number int64, ctx *fasthttp.RequestCtx)) *listener {
@@ -28,26 +32,34 @@
 	inner, err := net.Listen("tcp", address)
 	must.NoError(t, err)
 	l := &listener{Listener: inner}
-	l.conns.Store(&[]net.Conn{})
 	l.server = &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { handler(l.calls.Add(1), ctx) }}
 	go func() { _ = l.server.Serve(l) }()
 	t.Cleanup(l.stop)
 	return l
 }
 
-// Accept implements net.Listener and records the connections for stop.
+// Accept implements net.Listener and records the connections for stop. It closes one
+// that it accepted while stop was called.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		all := append(*l.conns.Load(), conn)
-		l.conns.Store(&all)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		_ = conn.Close()
 	}
-	return conn, err
+	l.conns = append(l.conns, conn)
+	return conn, nil
 }
 
 func (l *listener) stop() {
 	_ = l.Close()
-	for _, conn := range *l.conns.Load() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	for _, conn := range l.conns {
 		_ = conn.Close()
 	}
 }
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -10,5 +10,9 @@
 // running together at the same two or more crashes are held back for HoldPeriod
 // first, since each of them may be the cause.
 //
+// A request that many callers send alike is running at many crashes by chance. So a
+// request is also cleared while a copy of it completed within completionsMemory, and
+// a third crash is needed for a rejection while servers crash in a herd.
+//
 // Crashes and clearances are shared among all daemons.
 package poison
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -16,6 +16,13 @@
 
 	maxCrashes = 256 // crashes kept
 	maxRunning = 64  // fingerprints kept for one crash
+
+	crashesToReject   = 2                // crashes of one request after which it is rejected
+	herdWindow        = 10 * time.Second // crashes that become known within this time belong together
+	herdCrashes       = 3                // unexplained crashes of other servers that make a herd
+	herdExtraCrashes  = 1                // further crashes of one request to reject it during a herd
+	completionsMemory = 30 * time.Second // a request that completed within this time crashes no server
+	maxCompletions    = 4096             // completed requests remembered
 )
 
 // Fingerprint identifies a request by its method, path with query and content,
@@ -27,10 +34,30 @@
 
 // Crash is the end of a server's process while requests were running there.
 type Crash struct {
-	ID      CrashID         `json:"id"`
-	Server  model.ServerRef `json:"server"`
-	At      time.Time       `json:"at"`
-	Running []Fingerprint   `json:"running"` // requests that were running, at most maxRunning
+	ID     CrashID         `json:"id"`
+	Server model.ServerRef `json:"server"`
+	// StartedMS tells the processes of one server apart: the Unix millisecond of the
+	// start of the one that ended, or zero if it is not known.
+	StartedMS int64         `json:"started_ms,omitempty"`
+	At        time.Time     `json:"at"`
+	Running   []Fingerprint `json:"running"` // requests that were running, at most maxRunning
+
+	receivedAt time.Time // by this daemon's clock, as the clocks of daemons differ
+}
+
+// process identifies the server process that ended. Several daemons may report the
+// same end.
+type process struct {
+	server    model.ServerRef
+	startedMS int64
+	crash     CrashID // set only if the start of the process is not known
+}
+
+func (c *Crash) process() process {
+	if c.StartedMS == 0 {
+		return process{server: c.Server, crash: c.ID}
+	}
+	return process{server: c.Server, startedMS: c.StartedMS}
 }
 
 // Decision says whether and how a request may run.
@@ -57,6 +84,7 @@
 	arrivalOrder  []CrashID                 // at this daemon, first arrived first
 	cleared       map[clearance]time.Time   // when each clearance was made
 	byFingerprint map[Fingerprint][]CrashID // known crashes at which each request was running
+	completed     *completions
 }
 
 func newLedger() *ledger {
@@ -64,18 +92,20 @@
 		crashes:       map[CrashID]*Crash{},
 		cleared:       map[clearance]time.Time{},
 		byFingerprint: map[Fingerprint][]CrashID{},
+		completed:     newCompletions(),
 	}
 }
 
-// addCrash adds a crash unless it is known. When maxCrashes are known, it removes
-// the one that arrived first.
-func (l *ledger) addCrash(c *Crash) {
+// addCrash adds a crash that this daemon got to know at now, unless it is known
+// already. When maxCrashes are known, it removes the one that arrived first.
+func (l *ledger) addCrash(c *Crash, now time.Time) {
 	if _, known := l.crashes[c.ID]; known {
 		return
 	}
 	if len(l.arrivalOrder) >= maxCrashes {
 		l.remove(l.arrivalOrder[0])
 	}
+	c.receivedAt = now
 	l.crashes[c.ID] = c
 	l.arrivalOrder = append(l.arrivalOrder, c.ID)
 	for _, f := range c.Running {
@@ -132,23 +162,72 @@
 	return cleared
 }
 
-// decide returns the decision on a request. A request that may have caused two or
-// more crashes is rejected only when no other request may have caused the same ones;
-// until then it is held back for HoldPeriod after the latest and then runs alone.
+// decide returns the decision on a request. A copy of the request that completed
+// clears it. A request that may have caused crashesToReject crashes or more is
+// rejected only when no other request may have caused the same ones; until then it is
+// held back for HoldPeriod after the latest and then runs alone. While servers crash in
+// a herd, one crash more is needed, since the request may have been there by chance.
 func (l *ledger) decide(f Fingerprint, now time.Time) Decision {
 	crashes := l.uncleared(f)
 	switch {
-	case len(crashes) == 0:
+	case len(crashes) == 0 || l.completed.recent(f, now):
 		return Allow
-	case len(crashes) == 1:
+	case processes(crashes) < crashesToReject:
 		return Isolate
-	case l.onlyCommon(f, crashes):
-		return Reject
-	case now.Sub(latest(crashes)) < HoldPeriod:
+	case !l.onlyCommon(f, crashes) && now.Sub(latest(crashes)) < HoldPeriod:
 		return Hold
-	default:
+	case !l.onlyCommon(f, crashes) || processes(crashes) < l.crashesNeeded(f, crashes):
 		return Isolate
+	default:
+		return Reject
+	}
+}
+
+// processes returns how many server processes the crashes ended.
+func processes(crashes []*Crash) int {
+	distinct := map[process]bool{}
+	for _, c := range crashes {
+		distinct[c.process()] = true
 	}
+	return len(distinct)
+}
+
+// crashesNeeded returns the number of crashes that count as evidence against a request
+// which was running at the given ones. It is higher if at least herdCrashes other server
+// processes ended about then, for no known reason.
+func (l *ledger) crashesNeeded(f Fingerprint, crashes []*Crash) int {
+	var others []*Crash
+	for _, other := range l.crashes {
+		if !ran(f, other) && closeTo(other, crashes) && !l.explained(other) {
+			others = append(others, other)
+		}
+	}
+	if processes(others) < herdCrashes {
+		return crashesToReject
+	}
+	return crashesToReject + herdExtraCrashes
+}
+
+// closeTo reports whether a crash became known within herdWindow of one of the others.
+func closeTo(crash *Crash, others []*Crash) bool {
+	for _, other := range others {
+		if crash.receivedAt.Sub(other.receivedAt).Abs() < herdWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// explained reports whether a request that was running at the crash is the only one
+// that may have caused crashesToReject crashes, and is so known to crash servers.
+func (l *ledger) explained(crash *Crash) bool {
+	for _, f := range crash.Running {
+		crashes := l.uncleared(f)
+		if !l.isCleared(crash.ID, f) && processes(crashes) >= crashesToReject && l.onlyCommon(f, crashes) {
+			return true
+		}
+	}
+	return false
 }
 
 // onlyCommon reports whether no other request may have caused the same crashes.
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -56,7 +56,7 @@
 	}
 	if crashed {
 		id := CrashID(fmt.Sprint(len(m.ledger.crashes)))
-		m.ledger.addCrash(&Crash{ID: id, At: now, Running: running})
+		m.ledger.addCrash(&Crash{ID: id, At: now, Running: running}, now)
 		return
 	}
 	for _, f := range running {
@@ -93,8 +93,8 @@
 func TestRequestsAtTheSameTwoCrashesAreHeldFirst(t *testing.T) {
 	const poison, other = 1, 2
 	l := newLedger()
-	l.addCrash(&Crash{ID: "a", At: now, Running: []Fingerprint{poison, other}})
-	l.addCrash(&Crash{ID: "b", At: now, Running: []Fingerprint{poison, other}})
+	l.addCrash(&Crash{ID: "a", At: now, Running: []Fingerprint{poison, other}}, now)
+	l.addCrash(&Crash{ID: "b", At: now, Running: []Fingerprint{poison, other}}, now)
 	must.Eq(t, Hold, l.decide(poison, now))
 	must.Eq(t, Hold, l.decide(other, now))
 	must.Eq(t, Isolate, l.decide(other, now.Add(HoldPeriod)))
@@ -107,7 +107,7 @@
 func TestClearanceMayArriveBeforeItsCrash(t *testing.T) {
 	l := newLedger()
 	l.clear(clearance{"a", 1}, now)
-	l.addCrash(&Crash{ID: "a", At: now, Running: []Fingerprint{1, 2}})
+	l.addCrash(&Crash{ID: "a", At: now, Running: []Fingerprint{1, 2}}, now)
 	must.Eq(t, Allow, l.decide(1, now))
 	must.Eq(t, Isolate, l.decide(2, now))
 }
@@ -115,7 +115,7 @@
 func TestCrashesExpireAndAreBounded(t *testing.T) {
 	l := newLedger()
 	for i := range maxCrashes + 10 {
-		l.addCrash(&Crash{ID: CrashID(fmt.Sprint(i)), At: now, Running: []Fingerprint{Fingerprint(i)}})
+		l.addCrash(&Crash{ID: CrashID(fmt.Sprint(i)), At: now, Running: []Fingerprint{Fingerprint(i)}}, now)
 	}
 	must.MapLen(t, maxCrashes, l.crashes)
 	must.Eq(t, Allow, l.decide(0, now))
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -71,18 +71,20 @@
 	return t.decide(f, now)
 }
 
-// Report records the crash of a server at which the given requests were running,
-// and sends it to the other daemons. It sorts running in place. It returns when each
-// of them has received the crash or failed to answer in time, so that a caller that
-// sends its request again does not reach a daemon before the crash is known there.
-func (t *Table) Report(server model.ServerRef, running []Fingerprint, now time.Time) CrashID {
+// Report records the crash of a server at which the given requests were running, and
+// sends it to the other daemons. The process of the server started at startedMS, in Unix
+// milliseconds, or at an unknown time if that is zero. Report sorts running in place. It
+// returns when each daemon has received the crash or failed to answer in time, so that a
+// caller that sends its request again does not reach one that does not know the crash.
+func (t *Table) Report(server model.ServerRef, startedMS int64, running []Fingerprint, now time.Time) CrashID {
 	slices.Sort(running)
 	running = slices.Compact(running)
 	crash := &Crash{
-		ID:      CrashID(uuid.NewString()),
-		Server:  server,
-		At:      now,
-		Running: running[:min(len(running), maxRunning)],
+		ID:        CrashID(uuid.NewString()),
+		Server:    server,
+		StartedMS: startedMS,
+		At:        now,
+		Running:   running[:min(len(running), maxRunning)],
 	}
 	if item, ok := t.store("death/"+string(crash.ID), &record{Crash: crash, At: now}); ok {
 		t.spread.Broadcast(context.Background(), TopicName, item)
@@ -94,6 +96,9 @@
 // was running at. reported is the crash that came with the request, or empty; it may
 // not be known to this daemon yet.
 func (t *Table) Clear(f Fingerprint, reported CrashID, now time.Time) {
+	t.mu.Lock()
+	t.completed.add(f, now)
+	t.mu.Unlock()
 	for _, id := range t.toClear(f, reported) {
 		t.publish(fmt.Sprintf("clear/%s/%x", id, uint64(f)), &record{Cleared: id, Fingerprint: f, At: now})
 	}
@@ -148,7 +153,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Crash != nil {
-		t.addCrash(r.Crash)
+		t.addCrash(r.Crash, time.Now())
 	} else {
 		t.clear(clearance{r.Cleared, r.Fingerprint}, r.At)
 	}
