backends: servers that never answer when full, and answers without end

Change: internal/attemptlimit (pure, times by service in windows of a histogram) ends an attempt of an idempotent request at 1.5 times the 99th percentile, at least half of the latency objective, if another one can still be in time and the retry budget has room; work that may run once is waited for. A server that answered others meanwhile counts as full for 0.3 s, not as broken. Servers are left out for lost answers by rate (two in a row), half of them at most. internal/bytebudget: bodies share a fifth of the memory, each holds at most what is left for the others. The kernel ends connections whose peer is gone after 3 s. A choice considers 32 servers at most.

--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/chicorylug/chicorylug/internal/attemptlimit"
+	"github.com/chicorylug/chicorylug/internal/bytebudget"
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/dialect"
@@ -19,6 +21,8 @@
 	connectionShare = 0.8 // share of a server's MaxConnections that all daemons together use
 	minConnections  = 2   // minimum per server and daemon, even if the daemon's share is smaller
 	maxConnections  = 32  // maximum per server and daemon
+
+	responseMemoryDivisor = 5 // bodies of responses may take 1/responseMemoryDivisor of the configured memory
 )
 
 // Backends holds the connections to backend servers and their state as observed by
@@ -31,6 +35,8 @@
 	fleetSize   func() int
 	retryBudget *RetryBudget
 	stats       *Stats
+	limits      *attemptlimit.Limits
+	memory      *bytebudget.Budget // for bodies of responses
 	log         *zap.Logger
 
 	mu        sync.Mutex
@@ -58,6 +64,8 @@
 		fleetSize:   fleetSize,
 		retryBudget: NewRetryBudget(c.Fenced.RepeatShare, c.Fenced.RepeatExtra, fleetSize),
 		stats:       newStats(),
+		limits:      attemptlimit.New(),
+		memory:      bytebudget.New(c.Fenced.MemoryBytes() / responseMemoryDivisor),
 		log:         log.Named("backends"),
 		endpoints:   map[model.ServerID]*endpoint{},
 	}
@@ -127,8 +135,9 @@
 func (b *Backends) Choose(snapshot *catalog.Snapshot, c *Criteria) *catalog.Server {
 	now := time.Now()
 	defaultServiceTime := b.stats.averageServiceTime(c.Service)
+	considered := consider(snapshot.ByService[c.Service], snapshot.ByZone[catalog.ServiceZone{Service: c.Service, Zone: b.zone}])
 	var candidates []candidate
-	for _, server := range snapshot.ByService[c.Service] {
+	for _, server := range considered {
 		if server.Leaving || slices.Contains(c.Tried, server.ID) {
 			continue
 		}
--- a/internal/backends/budget.go
+++ b/internal/backends/budget.go
@@ -33,25 +33,16 @@
 
 // Deposit adds the tokens for the first attempt of a request to a service.
 func (b *RetryBudget) Deposit(service model.PoolName) {
-	maxTokens := b.maxTokens()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens, known := b.tokens[service]
-	if !known {
-		tokens = maxTokens
-	}
-	b.tokens[service] = min(tokens+budgetShare*b.ratio, maxTokens)
+	b.tokens[service] = min(b.tokensOf(service)+budgetShare*b.ratio, b.maxTokens())
 }
 
 // Take takes a token for a retry and reports whether the retry is allowed.
 func (b *RetryBudget) Take(service model.PoolName) bool {
-	maxTokens := b.maxTokens()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens, known := b.tokens[service]
-	if !known {
-		tokens = maxTokens
-	}
+	tokens := b.tokensOf(service)
 	allowed := tokens >= 1
 	if allowed {
 		tokens--
@@ -59,3 +50,19 @@
 	b.tokens[service] = tokens
 	return allowed
 }
+
+// Allows reports whether a retry would be allowed now. It takes no token.
+func (b *RetryBudget) Allows(service model.PoolName) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokensOf(service) >= 1
+}
+
+// tokensOf returns the tokens of a service; a new service has a full bucket. The caller
+// must hold b.mu.
+func (b *RetryBudget) tokensOf(service model.PoolName) float64 {
+	if tokens, known := b.tokens[service]; known {
+		return tokens
+	}
+	return b.maxTokens()
+}
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -25,14 +26,17 @@
 	failurePenalty     = 4.0     // added to the cost factor of a server that fails every attempt
 	remotePenalty      = 1.15    // cost factor of a server in another zone
 	sampleSize         = 3       // servers sampled and compared per request
+	maxFailingShare    = 0.5     // share of the servers that are left out because they fail
+	maxConsidered      = 32      // servers whose state is read for one request, at most
 )
 
 // choose returns the server with the lowest cost among sampleSize random candidates,
 // sampled in proportion to throughput. The cost is the expected delay, increased by
-// failures and for other zones. Ejected servers are used only if all are ejected.
+// failures and for other zones. Ejected servers are used only if all are ejected, failing
+// ones if more than maxFailingShare of the others fail.
 // Large transfers stay in the zone while a server there is in time.
 func choose(candidates []candidate, zone model.Zone, criteria *Criteria) *catalog.Server {
-	usable := withoutEjected(candidates)
+	usable := withoutFailing(withoutEjected(candidates))
 	if len(usable) == 0 {
 		return nil
 	}
@@ -64,6 +68,51 @@
 	return usable
 }
 
+// withoutFailing returns the candidates that are not failing, or all if more than
+// maxFailingShare of them are: the others could not take their load.
+func withoutFailing(candidates []candidate) []candidate {
+	usable := make([]candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if !c.failing() {
+			usable = append(usable, c)
+		}
+	}
+	if float64(len(usable)) < (1-maxFailingShare)*float64(len(candidates)) {
+		return candidates
+	}
+	return usable
+}
+
+// consider returns the servers among which one is chosen for a request: all, or in a
+// large service two random parts of maxConsidered/2, one of the zone and one of all.
+// The cost of a choice so does not grow with the service.
+func consider(all, local []*catalog.Server) []*catalog.Server {
+	if len(all) <= maxConsidered {
+		return all
+	}
+	considered := randomPart(local, maxConsidered/2)
+	for _, server := range randomPart(all, maxConsidered/2) {
+		if !slices.Contains(considered, server) {
+			considered = append(considered, server)
+		}
+	}
+	return considered
+}
+
+// randomPart returns count servers that follow each other in the list from a random
+// one on, or all if there are no more.
+func randomPart(servers []*catalog.Server, count int) []*catalog.Server {
+	if len(servers) <= count {
+		return slices.Clone(servers)
+	}
+	part := make([]*catalog.Server, 0, count)
+	start := rand.IntN(len(servers))
+	for i := range count {
+		part = append(part, servers[(start+i)%len(servers)])
+	}
+	return part
+}
+
 // localWithinObjective returns the servers of the zone whose expected delay is below
 // 1/objectiveDivisor of the latency objective.
 func localWithinObjective(candidates []candidate, zone model.Zone, objective time.Duration) []candidate {
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -1,7 +1,6 @@
 package backends
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicorylug/chicorylug/internal/attemptlimit"
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/httplink"
@@ -17,6 +17,7 @@
 
 const (
 	maxResponseBytes    = 16 << 20              // size limit of a response body, which is buffered in memory
+	minBodyBuffer       = 4 << 10               // first buffer for a body of unknown length, in bytes
 	responseTransitTime = 10 * time.Millisecond // reserved for the transfer of the response
 )
 
@@ -41,6 +42,11 @@
 	Request *fasthttp.Request
 	// Deadline is the time by which the response is needed.
 	Deadline time.Time
+	// Limited says that the attempt may end earlier, when the server takes longer than
+	// the service does, so that the request can be sent again.
+	Limited bool
+	// LatencyObjective is the time within which the response is wanted; zero if there is none.
+	LatencyObjective time.Duration
 }
 
 // Result is the outcome of one attempt.
@@ -66,8 +72,13 @@
 	errContentEncoded   = errors.New("response has a content encoding")
 	errResponseTooLarge = errors.New("response body exceeds 16 MiB")
 	errNotRun           = errors.New("server reported that it did not run the request")
+	errNoMemory         = errors.New("response body exceeds the memory left for responses")
 )
 
+// ErrNoAnswer says that the server did not answer within the time limit of an attempt,
+// before the deadline. The request may still run there.
+var ErrNoAnswer = errors.New("no complete response within the time limit of an attempt")
+
 // Send sends a request to a server once, reads the complete response and updates the
 // server's state from the result.
 func (b *Backends) Send(ctx context.Context, a *Attempt) Result {
@@ -77,7 +88,9 @@
 	e.state.requestStarted()
 	defer e.state.requestEnded()
 	response := fasthttp.AcquireResponse()
-	result := b.exchange(ctx, e, a, response)
+	limited, cancel := b.limit(ctx, e, a)
+	defer cancel()
+	result := b.exchange(limited, e, a, response)
 	result.Took = time.Since(started)
 	b.recordResult(e, a, &result, ctx.Err() != nil)
 	if result.Response == nil {
@@ -86,6 +99,25 @@
 	return result
 }
 
+// limit returns the context of an attempt. It ends with ErrNoAnswer when the attempt is
+// limited and takes longer than the service's attempts do.
+func (b *Backends) limit(ctx context.Context, e *endpoint, a *Attempt) (context.Context, context.CancelFunc) {
+	if !a.Limited {
+		return ctx, func() {}
+	}
+	now := time.Now()
+	limit, exists := b.limits.Limit(&attemptlimit.Attempt{
+		Service:          a.Server.Service,
+		Slowness:         e.state.slowness(b.stats.averageServiceTime(a.Server.Service)),
+		LatencyObjective: a.LatencyObjective,
+		Left:             a.Deadline.Sub(now),
+	}, now)
+	if !exists {
+		return ctx, func() {}
+	}
+	return context.WithTimeoutCause(ctx, limit, ErrNoAnswer)
+}
+
 // exchange sends the request and reads the response.
 func (b *Backends) exchange(ctx context.Context, e *endpoint, a *Attempt, response *fasthttp.Response) Result {
 	exchange, failure := e.pool.Do(ctx, a.Request, response)
@@ -101,7 +133,7 @@
 		exchange.Abort()
 		return Result{Execution: MayHaveRun, Sent: true, Err: errWrongRequestID}
 	}
-	body, err := readBody(exchange)
+	body, err := b.readBody(exchange)
 	if err != nil {
 		exchange.Abort()
 		return Result{Execution: MayHaveRun, Sent: true, Err: err}
@@ -134,23 +166,44 @@
 	}
 }
 
-// readBody reads a response body of at most maxResponseBytes.
-func readBody(exchange *httplink.Exchange) ([]byte, error) {
-	if length := exchange.Length(); length > maxResponseBytes {
+// readBody reads a response body of at most maxResponseBytes. While it is read, it
+// counts against the memory for responses.
+func (b *Backends) readBody(exchange *httplink.Exchange) ([]byte, error) {
+	length := exchange.Length()
+	if length > maxResponseBytes {
 		return nil, errResponseTooLarge
 	}
-	var body bytes.Buffer
-	if length := exchange.Length(); length > 0 {
-		body.Grow(length + bytes.MinRead)
-	}
-	read, err := io.Copy(&body, io.LimitReader(exchange, maxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response body")
+	held := b.memory.NewHolder()
+	defer held.Release()
+	var body []byte
+	if length > 0 {
+		if !held.Grow(int64(length)) {
+			return nil, errNoMemory
+		}
+		body = make([]byte, length)
+		_, err := io.ReadFull(exchange, body)
+		return body, errors.Wrap(err, "read response body")
 	}
-	if read > maxResponseBytes {
-		return nil, errResponseTooLarge
+	for {
+		if len(body) > maxResponseBytes {
+			return nil, errResponseTooLarge
+		}
+		if free := cap(body) - len(body); free == 0 {
+			size := max(2*cap(body), minBodyBuffer)
+			if !held.Grow(int64(size - cap(body))) {
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		read, err := exchange.Read(body[len(body):cap(body)])
+		body = body[:len(body)+read]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read response body")
+		}
 	}
-	return body.Bytes(), nil
 }
 
 // recordResult updates the server's state and the statistics from the result of an
@@ -163,8 +216,12 @@
 	e.state.mu.Lock()
 	load := e.state.load
 	e.state.mu.Unlock()
+	if r.Execution == Ran || (r.Execution == NotRun && r.Sent) {
+		e.state.recordAnswer(now)
+	}
 	switch {
 	case r.Execution == Ran:
+		b.limits.Record(a.Server.Service, r.Took, now)
 		took := time.Duration(-1)
 		if load.Waiting == 0 && load.Running <= a.Server.Slots {
 			took = r.Took
@@ -187,6 +244,11 @@
 		e.state.eject(now, dialFailureEjection)
 	case cancelled && now.Before(a.Deadline):
 		// The caller closed its connection: this is not a failure of the server.
+	case !cancelled && !errors.Is(r.Err, ErrNoAnswer):
+		e.state.recordOutcome(true, now) // a lost or spoiled response says little by itself
+	case e.state.answeredSince(now.Add(-r.Took)):
+		// The server is alive: it was too full to take the request, or the connection failed.
+		e.state.eject(now, silentEjection)
 	default:
 		e.state.recordOutcome(true, now)
 		e.state.eject(now, noResponseEjection)
--- a/internal/backends/state.go
+++ b/internal/backends/state.go
@@ -17,9 +17,11 @@
 	failureDecayTime    = 3 * time.Second         // time constant of the exponential decay of the failure rate
 	initialServiceTime  = 100 * time.Millisecond  // assumed service time before the first sample
 	warmUpFactor        = 1.6                     // factor on the service time while a server warms up
-	noResponseEjection  = 1500 * time.Millisecond // ejection time of a server that did not send a valid response
+	noResponseEjection  = 1500 * time.Millisecond // ejection time of a server that sent nothing until the end of an attempt
 	dialFailureEjection = 400 * time.Millisecond  // ejection time of a server that could not be connected to
 	shedEjection        = 100 * time.Millisecond  // ejection time of a server that rejected a request because it was full
+	silentEjection      = 300 * time.Millisecond  // ejection time of a server that left a request unanswered and answered others
+	failingRate         = 0.4                     // failure rate from which on a server counts as failing: two failures in a row, or most of several
 )
 
 // state is the state of one server process as observed by this daemon.
@@ -32,6 +34,7 @@
 	serviceTime    time.Duration // moving average over runs that did not queue at the server; zero before the first
 	failureRate    float64       // moving average, 0 to 1, as of lastOutcomeAt
 	lastOutcomeAt  time.Time
+	lastAnswerAt   time.Time // when the server last answered this daemon, with whatever status
 	ejectedUntil   time.Time // until then used only if all servers are ejected
 }
 
@@ -69,6 +72,17 @@
 	s.serviceTime += time.Duration(serviceTimeWeight * float64(took-s.serviceTime))
 }
 
+// slowness returns the server's service time relative to the service's average, or 1
+// before the first sample.
+func (s *state) slowness(average time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serviceTime == 0 || average == 0 {
+		return 1
+	}
+	return float64(s.serviceTime) / float64(average)
+}
+
 // recordOutcome records whether an attempt failed.
 func (s *state) recordOutcome(failed bool, now time.Time) {
 	s.mu.Lock()
@@ -90,6 +104,20 @@
 	return s.failureRate * math.Exp(-now.Sub(s.lastOutcomeAt).Seconds()/failureDecayTime.Seconds())
 }
 
+// recordAnswer records that the server answered.
+func (s *state) recordAnswer(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastAnswerAt = now
+}
+
+// answeredSince reports whether the server answered this daemon after the given time.
+func (s *state) answeredSince(start time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAnswerAt.After(start)
+}
+
 // eject excludes the server from selection for the period, unless all servers of its
 // service are ejected.
 func (s *state) eject(now time.Time, period time.Duration) {
@@ -110,6 +138,9 @@
 	failureRate  float64
 }
 
+// failing reports whether the server's failures are too many to be chance.
+func (c candidate) failing() bool { return c.failureRate >= failingRate }
+
 // candidate returns the server as a candidate. defaultServiceTime is used before the
 // first sample.
 func (s *state) candidate(server *catalog.Server, defaultServiceTime time.Duration, now time.Time) candidate {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,9 +14,16 @@
 	Configuration *Configuration
 	Servers       map[model.ServerID]*Server
 	ByService     map[model.PoolName][]*Server
+	ByZone        map[ServiceZone][]*Server
 	Owners        map[model.PoolName]*Owners
 }
 
+// ServiceZone identifies the servers of a service in one zone.
+type ServiceZone struct {
+	Service model.PoolName
+	Zone    model.Zone
+}
+
 // Catalog holds the current snapshot. Load may be called from any goroutine; the
 // Publish methods only from one at a time, since they read, copy and replace the
 // snapshot without a lock.
@@ -46,13 +53,16 @@
 	return true
 }
 
-// PublishServers replaces the backend servers and their index by service.
+// PublishServers replaces the backend servers and their indexes by service and zone.
 func (c *Catalog) PublishServers(servers map[model.ServerID]*Server) {
 	next := *c.Load()
 	next.Servers = servers
 	next.ByService = map[model.PoolName][]*Server{}
+	next.ByZone = map[ServiceZone][]*Server{}
 	for _, server := range servers {
 		next.ByService[server.Service] = append(next.ByService[server.Service], server)
+		zone := ServiceZone{Service: server.Service, Zone: server.Zone}
+		next.ByZone[zone] = append(next.ByZone[zone], server)
 	}
 	c.current.Store(&next)
 }
--- a/internal/dispatcher/request_test.go
+++ b/internal/dispatcher/request_test.go
@@ -1,8 +1,8 @@
 package dispatcher
 
 import (
-	"context"
 	"bufio"
+	"context"
 	"net"
 	"strconv"
 	"sync"
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -204,9 +204,19 @@
 		Keyed:    c.keyed,
 		Request:  request,
 		Deadline: c.deadline,
+		Limited:  c.mayRetryAfterSilence(),
+
+		LatencyObjective: c.route.LatencyObjective,
 	})
 }
 
+// mayRetryAfterSilence reports whether the request may be sent once more if the current
+// attempt is not answered.
+func (c *call) mayRetryAfterSilence() bool {
+	return c.route.Repeat == catalog.Idempotent && c.possibleRuns+1 < max(c.route.MaxServers, 1) &&
+		c.gateway.backends.RetryBudget().Allows(c.service)
+}
+
 // hasRetryableStatus reports whether the response is a server error (5xx) to an
 // idempotent request, so that another server may succeed.
 func (c *call) hasRetryableStatus(result backends.Result) bool {
@@ -226,6 +236,10 @@
 		outcome, code = reason.NotRun, reason.ServerShed
 	case result.Execution == backends.NotRun:
 		outcome, code = reason.NotRun, reason.ServerUnreachable
+	case errors.Is(result.Err, backends.ErrNoAnswer):
+		code = reason.ServerTimeout
+		c.mayHaveRun = true
+		c.possibleRuns++
 	default:
 		c.mayHaveRun = true
 		c.possibleRuns++
--- /dev/null
+++ b/internal/httplink/fuzz_test.go
@@ -0,0 +1,59 @@
+package httplink
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// FuzzResponse sends arbitrary bytes as a response and closes the connection. The
+// exchange must end, and a body that it reports as complete must not be longer than the
+// bytes that were sent, nor differ from the length that the response states.
+func FuzzResponse(f *testing.F) {
+	for _, seed := range []string{
+		fixedResponse,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nto the end",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
+		"\x00\x01\x02",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		pool := NewPool("peer", 1, func(string) (net.Conn, error) { return pipePeer(sent), nil })
+		pool.AcceptUnframed()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		request, response := newGetRequest(), &fasthttp.Response{}
+		exchange, failure := pool.Do(ctx, request, response)
+		if failure != nil {
+			return
+		}
+		defer exchange.Close()
+		body, err := io.ReadAll(io.LimitReader(exchange, int64(len(sent))+1))
+		must.LessEq(t, len(sent), len(body))
+		if err == nil && exchange.Complete() && exchange.Length() >= 0 {
+			must.Eq(t, exchange.Length(), len(body))
+		}
+	})
+}
+
+// pipePeer returns a connection to a peer that reads a request, sends the bytes and
+// closes the connection.
+func pipePeer(sent []byte) net.Conn {
+	ours, theirs := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	go func() {
+		_, _ = theirs.Write(sent)
+		_ = theirs.Close()
+	}()
+	return ours
+}
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -92,11 +92,16 @@
 		}
 	}
 	time.Sleep(n.delay(address))
-	conn, err := net.DialTimeout("tcp", address, DialTimeout)
+	conn, err := newDialer().Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &faultConn{TCPConn: conn.(*net.TCPConn), network: n, address: address, closed: make(chan struct{})}
+	tcp := conn.(*net.TCPConn)
+	if err := limitUnacknowledged(tcp); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	wrapped := &faultConn{TCPConn: tcp, network: n, address: address, closed: make(chan struct{})}
 	return wrapped, n.track(wrapped)
 }
 
