keeper: neighbouring hot keys are noticed and spread within seconds

Change: internal/hotkeys (pure: a long and a short memory by key, neighbours judged together); the planner moves a hot key beyond the average while the target stays clearly below the source; moves are carried out side by side, writes one at a time; adjacent keys are released by at most six calls a server; a request backs off from a server that rejects its key, and wakes when the owners change instead of polling each 10 ms.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -29,15 +29,29 @@
 // snapshot without a lock.
 type Catalog struct {
 	current atomic.Pointer[Snapshot]
+	changed atomic.Pointer[chan struct{}] // closed and replaced at each change
 }
 
 // New returns a catalog with an empty snapshot.
 func New() *Catalog {
 	c := &Catalog{}
 	c.current.Store(&Snapshot{})
+	changed := make(chan struct{})
+	c.changed.Store(&changed)
 	return c
 }
 
+// Changed returns a channel that is closed at the next change of the snapshot. A caller
+// that waits for a change must call it before it loads the snapshot.
+func (c *Catalog) Changed() <-chan struct{} { return *c.changed.Load() }
+
+// publish replaces the snapshot and wakes those who wait for a change.
+func (c *Catalog) publish(next *Snapshot) {
+	c.current.Store(next)
+	changed := make(chan struct{})
+	close(*c.changed.Swap(&changed))
+}
+
 // Load returns the current snapshot.
 func (c *Catalog) Load() *Snapshot { return c.current.Load() }
 
@@ -49,7 +63,7 @@
 		return false
 	}
 	next.Configuration = configuration
-	c.current.Store(&next)
+	c.publish(&next)
 	return true
 }
 
@@ -64,7 +78,7 @@
 		zone := ServiceZone{Service: server.Service, Zone: server.Zone}
 		next.ByZone[zone] = append(next.ByZone[zone], server)
 	}
-	c.current.Store(&next)
+	c.publish(&next)
 }
 
 // PublishOwners replaces the owners of one service if the given ones have a higher
@@ -79,6 +93,6 @@
 		next.Owners = map[model.PoolName]*Owners{}
 	}
 	next.Owners[owners.Service] = owners
-	c.current.Store(&next)
+	c.publish(&next)
 	return true
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,9 +19,9 @@
 )
 
 const (
-	ownerPollInterval     = 10 * time.Millisecond   // interval between lookups while a request waits for an owner
 	ownerWaitDivisor      = 3                       // a request waits for an owner for 1/ownerWaitDivisor of its remaining time
-	misdirectedRetryDelay = 30 * time.Millisecond   // time after which a server that rejected a key may have received its grant
+	misdirectedRetryDelay = 30 * time.Millisecond   // time after which a server that rejected a key may have received its grant,
+	misdirectedBackoff    = 3                       // times this at each further rejection: it has rather released the key
 	extraSends            = 2                       // sends beyond the route's MaxServers, for sends that did not run
 	leavingGracePeriod    = 1500 * time.Millisecond // time for which a leaving server still gets requests for its keys
 	minTimeLeft           = 5 * time.Millisecond    // a request with less time left is not sent
@@ -120,19 +121,37 @@
 func (c *call) awaitOwner() (*catalog.Server, *reason.Error) {
 	waitDeadline := time.Now().Add(time.Until(c.deadline) / ownerWaitDivisor)
 	for {
-		if server := c.owner(time.Now()); server != nil {
+		changed := c.gateway.catalog.Changed()
+		now := time.Now()
+		if server := c.owner(now); server != nil {
 			return server, nil
 		}
 		if cause := context.Cause(c.context); cause != nil {
 			return nil, c.contextRefusal(cause)
 		}
-		if time.Now().After(waitDeadline) {
+		if now.After(waitDeadline) {
 			return nil, reason.New(reason.NoOwner, "choose", string(c.service), "key %d has no owner", c.headers.Key)
 		}
-		time.Sleep(ownerPollInterval)
+		wait := waitDeadline.Sub(now)
+		if retryAt := c.misdirectedAt.Add(c.misdirectedDelay()); retryAt.After(now) {
+			wait = min(wait, retryAt.Sub(now))
+		}
+		timer := time.NewTimer(wait + time.Millisecond)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-c.context.Done():
+		}
+		timer.Stop()
 	}
 }
 
+// misdirectedDelay returns the time for which the request is not sent again to a server
+// that rejected its key, unless the key gets another fence.
+func (c *call) misdirectedDelay() time.Duration {
+	return misdirectedRetryDelay * time.Duration(math.Pow(misdirectedBackoff, float64(max(c.misdirected-1, 0))))
+}
+
 // acquireSlot reserves a slot at the owner of the request's key. Requests that any
 // server may run need no slot and get an empty reservation.
 func (c *call) acquireSlot(server *catalog.Server) (*slots.Reservation, *reason.Error) {
@@ -163,7 +182,7 @@
 
 // owner returns the server that owns the request's key, or nil if the key has no
 // owner, the owner is not available, or it rejected the key under the same fence
-// less than misdirectedRetryDelay ago.
+// less than misdirectedDelay ago.
 func (c *call) owner(now time.Time) *catalog.Server {
 	snapshot := c.gateway.catalog.Load()
 	owners := snapshot.Owners[c.service]
@@ -171,7 +190,7 @@
 		return nil
 	}
 	keyRange := owners.Owner(c.headers.Key)
-	if keyRange == nil || (c.sends > 0 && keyRange.Fence == c.fence && now.Sub(c.misdirectedAt) < misdirectedRetryDelay) {
+	if keyRange == nil || (c.sends > 0 && keyRange.Fence == c.fence && now.Sub(c.misdirectedAt) < c.misdirectedDelay()) {
 		return nil
 	}
 	server := snapshot.Servers[keyRange.Server]
@@ -231,6 +250,7 @@
 	switch {
 	case result.Execution == backends.NotRun && result.Misdirected:
 		c.misdirectedAt = time.Now()
+		c.misdirected++
 		outcome, code = reason.NotRun, reason.WrongEpoch
 	case result.Execution == backends.NotRun && result.Sent:
 		outcome, code = reason.NotRun, reason.ServerShed
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -52,7 +52,9 @@
 	lastServer   model.ServerID // of the last attempt
 	fence        catalog.Fence  // of the grant under which the server of the last attempt owned the key
 	mayHaveRun   bool           // an attempt may have run the request
-	// misdirectedAt is when a server last rejected the key because it does not own it.
+	// misdirected counts the servers' rejections of the key because they do not own it;
+	// misdirectedAt is the time of the last one.
+	misdirected   int
 	misdirectedAt time.Time
 }
 
--- a/internal/httplink/fuzz_test.go
+++ b/internal/httplink/fuzz_test.go
@@ -32,6 +32,8 @@
 		pool.AcceptUnframed()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
+		started := time.Now()
+		defer func() { must.Less(t, 2*time.Second, time.Since(started)) }()
 		request, response := newGetRequest(), &fasthttp.Response{}
 		exchange, failure := pool.Do(ctx, request, response)
 		if failure != nil {
--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -1,24 +1,31 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// planMoves returns the moves that are due. Grants of their keys are not renewed
-// until the moves are committed or have failed.
+// planMoves returns the moves that are due, apart from those of keys that are moving
+// already. Grants of their keys are not renewed until the moves are committed or have
+// failed.
 func (s *serviceKeeper) planMoves(now time.Time) []Move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	moves := s.dueMoves(now)
-	for _, m := range moves {
-		s.moving = append(s.moving, catalog.Range{From: m.From, To: m.To})
-	}
+	s.moving = append(s.moving, moves...)
 	return moves
 }
 
+// notMoving returns the moves none of whose keys is moving already. s.mu must be held.
+func (s *serviceKeeper) notMoving(moves []Move) []Move {
+	return slices.DeleteFunc(moves, func(m Move) bool {
+		return slices.ContainsFunc(s.moving, func(other Move) bool { return m.overlaps(&other) })
+	})
+}
+
 // dueMoves works out the moves that are due. s.mu must be held.
 func (s *serviceKeeper) dueMoves(now time.Time) []Move {
 	snapshot := s.keeper.catalog.Load()
@@ -38,12 +45,16 @@
 	for _, r := range s.owners.Ranges {
 		s.planRange(p, snapshot, r, outage, now)
 	}
-	if len(p.moves) > 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
-		return p.moves
+	moves := s.notMoving(p.moves)
+	if len(moves) > 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
+		return moves
 	}
 	s.balancedAt = now
-	s.load.decay(now)
+	s.load.update(now)
 	p = newPlanner(s.load, s.owners.Ranges, assignable)
+	for _, m := range s.moving {
+		p.applyMove(m.From, m.To, m.Target)
+	}
 	p.balance(func(id model.ServerID) bool {
 		h := s.holders[id]
 		return h != nil && h.acceptedGrants && !h.failing() && now.After(h.unansweredUntil)
--- a/internal/keeper/load.go
+++ b/internal/keeper/load.go
@@ -6,14 +6,15 @@
 
 	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/hotkeys"
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
 // Constants of the load estimate.
 const (
-	loadDecay          = 8 * time.Second // time constant of the exponential decay of counts
-	uniformShare       = 0.1             // added to the load, as a share of it, and spread evenly over all keys
-	minRequests        = 60              // counted requests below which no keys move to balance the load
+	loadDecay          = hotkeys.LongMemory // time constant of the exponential decay of counts
+	uniformShare       = 0.1                // added to the load, as a share of it, and spread evenly over all keys
+	minRequests        = 60                 // counted requests below which no keys move to balance the load
 	defaultServiceTime = 100 * time.Millisecond
 	loadQuantiles      = 64 // keys by which the load is described in the store
 )
@@ -21,8 +22,7 @@
 // load estimates the load of one service by key, and the speed of its servers. Its
 // unit is requests, decayed with time constant loadDecay.
 type load struct {
-	keys      [catalog.LastKey + 1]float64 // decayed requests by key
-	total     float64
+	keys      *hotkeys.Estimator
 	counted   int // requests counted since the start, without decay
 	decayedAt time.Time
 	servers   map[model.ServerID]*serverStats
@@ -39,33 +39,30 @@
 }
 
 func newLoad(now time.Time) *load {
-	return &load{decayedAt: now, servers: map[model.ServerID]*serverStats{}}
+	return &load{keys: hotkeys.New(catalog.LastKey+1, now), decayedAt: now, servers: map[model.ServerID]*serverStats{}}
 }
 
 // restore adds the load that an earlier keeper described in the store by points.
-func (l *load) restore(points []int) {
-	if len(points) == 0 {
-		return
-	}
+func (l *load) restore(points []int, now time.Time) {
 	for _, key := range points {
 		if key >= 0 && key <= catalog.LastKey {
-			l.keys[key] += minRequests / float64(len(points))
-			l.total += minRequests / float64(len(points))
+			l.keys.Seed(key, minRequests/float64(len(points)), now)
 		}
 	}
+	l.keys.Update(now)
 }
 
 // points returns the keys at loadQuantiles equal steps of the cumulative load, or nil
 // if there is no load.
 func (l *load) points() []int {
-	if l.total <= 0 {
+	if l.keys.Total() <= 0 {
 		return nil
 	}
 	points := make([]int, 0, loadQuantiles)
-	step := l.total / loadQuantiles
+	step := l.keys.Total() / loadQuantiles
 	sum := 0.0
-	for key, count := range l.keys {
-		sum += count
+	for key := range catalog.LastKey + 1 {
+		sum += l.keys.Load(key)
 		for sum >= step*(float64(len(points))+0.5) && len(points) < loadQuantiles {
 			points = append(points, key)
 		}
@@ -73,14 +70,14 @@
 	return points
 }
 
-// add adds what a daemon counted since its last report.
-func (l *load) add(stats *backends.KeyedStats) {
+// add adds what a daemon counted since its last report. The loads of keys contain it
+// after the next update.
+func (l *load) add(stats *backends.KeyedStats, now time.Time) {
 	for key, count := range stats.Keys {
 		if key < 0 || key > catalog.LastKey {
 			continue
 		}
-		l.keys[key] += float64(count)
-		l.total += float64(count)
+		l.keys.Add(key, count, now)
 		l.counted += count
 	}
 	for id, s := range stats.Servers {
@@ -97,15 +94,12 @@
 	}
 }
 
-// decay reduces all counts by the time that passed since the last call.
-func (l *load) decay(now time.Time) {
+// update computes the loads of keys as of now, and decays the counts of servers by the
+// time that passed since the last call.
+func (l *load) update(now time.Time) {
+	l.keys.Update(now)
 	factor := math.Exp(-now.Sub(l.decayedAt).Seconds() / loadDecay.Seconds())
 	l.decayedAt = now
-	l.total = 0
-	for key := range l.keys {
-		l.keys[key] *= factor
-		l.total += l.keys[key]
-	}
 	for _, s := range l.servers {
 		s.responses *= factor
 		s.unqueued *= factor
@@ -120,17 +114,17 @@
 func (l *load) rangeLoad(from, to int) float64 {
 	sum := l.uniformKeyLoad() * float64(to-from+1)
 	for key := from; key <= to; key++ {
-		sum += l.keys[key]
+		sum += l.keys.Load(key)
 	}
 	return sum
 }
 
 // keyLoad returns the load of one key, with the uniform part.
-func (l *load) keyLoad(key int) float64 { return l.keys[key] + l.uniformKeyLoad() }
+func (l *load) keyLoad(key int) float64 { return l.keys.Load(key) + l.uniformKeyLoad() }
 
 // uniformKeyLoad returns the load that each key has in addition to its counts.
 func (l *load) uniformKeyLoad() float64 {
-	return max(uniformShare*l.total, 1) / (catalog.LastKey + 1)
+	return max(uniformShare*l.keys.Total(), 1) / (catalog.LastKey + 1)
 }
 
 // capacity estimates how many requests a server can run per second. It serves to
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -14,6 +14,8 @@
 )
 
 // moveLoop moves keys away from servers that can't keep them, and to balance the load.
+// It does not wait for moves: a server that works on a key for long delays only the
+// moves of its own keys.
 func (s *serviceKeeper) moveLoop() {
 	defer s.done.Done()
 	for {
@@ -26,9 +28,14 @@
 			continue // the moves could not be written
 		}
 		moves := s.planMoves(time.Now())
-		if len(moves) > 0 {
-			s.execute(moves)
+		if len(moves) == 0 {
+			continue
 		}
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			s.execute(moves)
+		}()
 	}
 }
 
@@ -66,6 +73,11 @@
 // commitMoves writes the moves of a batch whose sources released the keys, and grants
 // the keys to the targets. It reports false when this daemon stepped down as keeper.
 func (s *serviceKeeper) commitMoves(batch []releaseResult) bool {
+	s.commits <- struct{}{}
+	defer func() { <-s.commits }()
+	if s.hasSteppedDown() {
+		return false
+	}
 	var released []releasedMove
 	for _, r := range batch {
 		if r.released != nil {
@@ -83,7 +95,7 @@
 	}
 	s.mu.Lock()
 	for _, r := range batch {
-		s.moving = slices.DeleteFunc(s.moving, func(m catalog.Range) bool { return m.From == r.move.From && m.To == r.move.To })
+		s.moving = slices.DeleteFunc(s.moving, func(m Move) bool { return m.overlaps(&r.move) })
 	}
 	if err == nil && owners != nil {
 		s.owners = owners
@@ -129,17 +141,60 @@
 // each move.
 func (s *serviceKeeper) releaseAll(moves []Move) <-chan releaseResult {
 	results := make(chan releaseResult, len(moves))
-	for _, m := range moves {
+	for _, group := range adjacentMoves(moves) {
 		s.done.Add(1)
 		go func() {
 			defer s.done.Done()
-			results <- releaseResult{move: m, released: s.release(m)}
+			whole := group[0]
+			whole.To = group[len(group)-1].To
+			released := s.release(whole)
+			for _, m := range group {
+				results <- resultOf(m, released)
+			}
 		}()
 	}
 	return results
 }
 
-// release has the source of one move release its keys; a move without a source needs no
+// resultOf returns the result of one of the moves that were released together; released
+// is nil if the source may still hold the keys.
+func resultOf(m Move, released *releasedMove) releaseResult {
+	if released == nil {
+		return releaseResult{move: m}
+	}
+	return releaseResult{move: m, released: &releasedMove{Move: m, state: released.state}}
+}
+
+// adjacentMoves groups the moves from one source whose keys follow each other, so that a
+// source gets no more than about maxConcurrentReleases releases. The keys of a group are
+// released by one call. The fewer keys a call covers, the sooner the work on them ends.
+func adjacentMoves(moves []Move) [][]Move {
+	bySource := map[model.ServerID]int{}
+	for _, m := range moves {
+		bySource[m.Source]++
+	}
+	sorted := slices.Clone(moves)
+	slices.SortFunc(sorted, func(a, b Move) int { return a.From - b.From })
+	var groups [][]Move
+	for _, m := range sorted {
+		size := (bySource[m.Source] + maxConcurrentReleases - 1) / maxConcurrentReleases
+		if last := len(groups) - 1; last >= 0 && len(groups[last]) < size && follows(m, groups[last]) {
+			groups[last] = append(groups[last], m)
+			continue
+		}
+		groups = append(groups, []Move{m})
+	}
+	return groups
+}
+
+// follows reports whether the keys of a move can be released together with those of a
+// group, after which they come.
+func follows(m Move, group []Move) bool {
+	previous := group[len(group)-1]
+	return m.Source != "" && m.Source == previous.Source && m.From == previous.To+1
+}
+
+// release has the source of a move release its keys; a move without a source needs no
 // release. If the source does not answer, or answers before earlierReleasesUntil (see
 // there), release waits until its grants have expired, unless confirmEnded reports that its
 // process has ended. It does not repeat the call: the answer to a second release would not say whether
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -17,6 +17,10 @@
 	minCapacityRatio     = 1.2 // capacity, relative to the owner's, that a server needs to get a hot key
 	maxPieces            = 3   // into which a range of a failed or leaving server is divided
 	minPieceLoad         = 0.3 // load of a piece, relative to the average load of a server, that justifies another piece
+
+	acceptableUtilization = 0.9 // of a server that takes a key beyond the average, relative to the server that gives it
+
+	movesPerServer = 2 // planned in one round of balancing, on average
 )
 
 // Move is the reassignment of a range of keys from one server to another.
@@ -27,6 +31,9 @@
 	Target *catalog.Server
 }
 
+// overlaps reports whether two moves have a key in common.
+func (m *Move) overlaps(other *Move) bool { return m.From <= other.To && other.From <= m.To }
+
 // candidate is a server that may get keys.
 type candidate struct {
 	server   *catalog.Server
@@ -157,12 +164,15 @@
 }
 
 // balance plans moves from the most to the least utilized servers while a server's
-// utilization is above its tolerance: as many moves as there are candidates at most, and
-// no key twice. movable says whether keys may leave a server now.
+// utilization is above its tolerance: movesPerServer for each candidate at most, and no
+// key twice. Where the next key has too much load for the target to stay at the average,
+// it moves all the same if the target then stays clearly less busy than the source: so
+// the hot keys of one server come to as many servers. movable says whether keys may
+// leave a server now.
 func (p *planner) balance(movable func(model.ServerID) bool) {
 	p.sumLoads()
 	remaining := p.candidates
-	for range p.candidates {
+	for range movesPerServer * len(p.candidates) {
 		average := averageUtilization(remaining)
 		source := mostUtilized(remaining, movable)
 		target := leastUtilized(remaining)
@@ -173,7 +183,7 @@
 		if wanted <= 0 {
 			return
 		}
-		if !p.shiftLoad(source, target, wanted) {
+		if !p.shiftLoad(source, target, wanted) && !p.shiftHotEnd(source, target, wanted) {
 			// The load is on a key that can't be divided: the others are balanced without this server.
 			faster := p.moveHotKey(source, remaining)
 			remaining = slices.DeleteFunc(slices.Clone(remaining), func(c *candidate) bool { return c == source || c == faster })
@@ -290,6 +300,37 @@
 	return true
 }
 
+// shiftHotEnd plans to move the keys at one end of one of the source's ranges up to the
+// first that has more than the wanted load, with that key. It reports false if the target
+// would then be above acceptableUtilization.
+func (p *planner) shiftHotEnd(source, target *candidate, wanted float64) bool {
+	bestFrom, bestTo, bestLoad := 0, -1, source.load
+	for _, r := range p.ranges {
+		if r.Server != source.server.ID || r.Fence == movedThisRound {
+			continue
+		}
+		for _, upper := range []bool{false, true} {
+			from, to := p.rangeEnd(r, wanted, upper)
+			if upper {
+				from = max(from-1, r.From)
+			} else {
+				to = min(to+1, r.To)
+			}
+			if moved := p.load.rangeLoad(from, to); moved < bestLoad {
+				bestFrom, bestTo, bestLoad = from, to, moved
+			}
+		}
+	}
+	if bestTo < bestFrom || (target.load+bestLoad)/target.capacity > acceptableUtilization*source.utilization() {
+		return false
+	}
+	p.applyMove(bestFrom, bestTo, target.server)
+	p.add(Move{From: bestFrom, To: bestTo, Source: source.server.ID, Target: target.server})
+	source.load -= bestLoad
+	target.load += bestLoad
+	return true
+}
+
 // rangeEnd returns the keys at the upper or lower end of a range with at most the
 // wanted load. from is above to if there are none.
 func (p *planner) rangeEnd(r catalog.Range, wanted float64, upper bool) (from, to int) {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -107,8 +107,9 @@
 	return ranges
 }
 
-// without returns what is left of a range when the excluded ones are removed from it.
-func without(r catalog.Range, excluded []catalog.Range) []catalog.Range {
+// without returns what is left of a range when the keys of the excluded moves are
+// removed from it.
+func without(r catalog.Range, excluded []Move) []catalog.Range {
 	left := []catalog.Range{r}
 	for _, o := range excluded {
 		var next []catalog.Range
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -36,8 +36,8 @@
 	mu      sync.Mutex
 	owners  *catalog.Owners
 	holders map[model.ServerID]*holder
-	moving  []catalog.Range // ranges that are changing owner or fence: their grants are not renewed
-	load    *load           // as reported by all daemons
+	moving  []Move // moves in progress: the grants of their keys are not renewed
+	load    *load  // as reported by all daemons
 	// earlierGrantsUntil is the time until which grants of an earlier keeper may be in
 	// force.
 	earlierGrantsUntil time.Time
@@ -47,9 +47,10 @@
 	earlierReleasesUntil time.Time
 	missingSince         map[model.ServerID]time.Time // when an owner was first seen unregistered in a likely outage
 	steppedDown          bool
-	balancedAt           time.Time // when the last round of balancing began
-	noMovesBefore        time.Time // after a failed write, see writeFailureDelay
-	storeSeenAt          time.Time // when the store last answered; used by renewLoop only
+	balancedAt           time.Time     // when the last round of balancing began
+	noMovesBefore        time.Time     // after a failed write, see writeFailureDelay
+	storeSeenAt          time.Time     // when the store last answered; used by renewLoop only
+	commits              chan struct{} // semaphore of one: a batch of moves is committed at a time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -67,11 +68,12 @@
 		earlierGrantsUntil: earlierGrantsUntil,
 		missingSince:       map[model.ServerID]time.Time{},
 		storeSeenAt:        time.Now(),
+		commits:            make(chan struct{}, 1),
 	}
 	if owners.EarlierKeeperMayRenew {
 		s.earlierReleasesUntil = time.Now().Add(maxStoreAge + maxGrantLifetime(k.grantHold()))
 	}
-	s.load.restore(owners.Load)
+	s.load.restore(owners.Load, time.Now())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Add(2)
 	go s.renewLoop()
@@ -94,7 +96,7 @@
 func (s *serviceKeeper) addReport(stats *keyedReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load.add(stats)
+	s.load.add(stats, time.Now())
 }
 
 // term returns this keeper's term.
