keeper: a lapsed registration does not free keys that a grant has reached

Change: the wait counts the grants to earlier processes in this case too; a grant under way while a process is replaced counts as well.

--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -1,16 +1,14 @@
 package keeper
 
 import (
-	"slices"
 	"time"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// planMoves returns the moves that are due, apart from those of keys that are moving
-// already. Grants of their keys are not renewed until the moves are committed or have
-// failed.
+// planMoves returns the moves that are due. Grants of their keys are not renewed
+// until the moves are committed or have failed.
 func (s *serviceKeeper) planMoves(now time.Time) []Move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -19,13 +17,6 @@
 	return moves
 }
 
-// notMoving returns the moves none of whose keys is moving already. s.mu must be held.
-func (s *serviceKeeper) notMoving(moves []Move) []Move {
-	return slices.DeleteFunc(moves, func(m Move) bool {
-		return slices.ContainsFunc(s.moving, func(other Move) bool { return m.overlaps(&other) })
-	})
-}
-
 // dueMoves works out the moves that are due. s.mu must be held.
 func (s *serviceKeeper) dueMoves(now time.Time) []Move {
 	snapshot := s.keeper.catalog.Load()
@@ -45,16 +36,12 @@
 	for _, r := range s.owners.Ranges {
 		s.planRange(p, snapshot, r, outage, now)
 	}
-	moves := s.notMoving(p.moves)
-	if len(moves) > 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
-		return moves
+	if len(p.moves) > 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
+		return p.moves
 	}
 	s.balancedAt = now
 	s.load.update(now)
 	p = newPlanner(s.load, s.owners.Ranges, assignable)
-	for _, m := range s.moving {
-		p.applyMove(m.From, m.To, m.Target)
-	}
 	p.balance(func(id model.ServerID) bool {
 		h := s.holders[id]
 		return h != nil && h.acceptedGrants && !h.failing() && now.After(h.unansweredUntil)
@@ -114,7 +101,9 @@
 		// The server keeps the range, under a new fence.
 		p.add(Move{From: r.From, To: r.To, Target: server})
 	case server == nil && h == nil:
-		if now.After(s.earlierGrantsUntil) {
+		// A grant meant for the owner may also have reached a later process, whose
+		// registration has lapsed.
+		if now.After(earlierProcessUntil) {
 			p.reassign(r, "")
 		}
 	case h == nil:
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -304,6 +304,26 @@
 	}
 }
 
+// A history that TestKeysHaveOneOwner once failed on: a server was granted keys just after
+// it had restarted, and the registration of the new process, which the grant had reached,
+// lapsed before the grant did.
+func TestLapsedRegistrationOfRestartedServerKeepsItsGrants(t *testing.T) {
+	events := []event{
+		{kind: "crash", pause: 204 * time.Millisecond, index: 3, duration: 91 * time.Millisecond, key: 6099},
+		{kind: "keeper killed", pause: 212 * time.Millisecond, index: 0, duration: 3984 * time.Millisecond, key: 1627},
+		{kind: "crash", pause: 362 * time.Millisecond, index: 2, duration: 304 * time.Millisecond, key: 2},
+		{kind: "restarted", pause: 2 * time.Millisecond, index: 2, duration: 1828 * time.Millisecond, key: 1},
+		{kind: "registration lapses", pause: 9 * time.Millisecond, index: 3, duration: 50 * time.Millisecond, key: 1},
+		{kind: "hot key", pause: 831 * time.Millisecond, index: 1, duration: 146 * time.Millisecond, key: 102},
+		{kind: "registration lapses", pause: time.Millisecond, index: 2, duration: 945 * time.Millisecond, key: 64889},
+		{kind: "late grants", pause: 164 * time.Millisecond, index: 0, duration: 50 * time.Millisecond, key: 148},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		violations, log := playHistory(events)
+		must.SliceEmpty(t, violations, must.Sprint(log))
+	})
+}
+
 func TestHistoryWithoutFaultsKeepsAllKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		violations, log := playHistory(nil)
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -14,8 +14,6 @@
 )
 
 // moveLoop moves keys away from servers that can't keep them, and to balance the load.
-// It does not wait for moves: a server that works on a key for long delays only the
-// moves of its own keys.
 func (s *serviceKeeper) moveLoop() {
 	defer s.done.Done()
 	for {
@@ -28,14 +26,9 @@
 			continue // the moves could not be written
 		}
 		moves := s.planMoves(time.Now())
-		if len(moves) == 0 {
-			continue
-		}
-		s.done.Add(1)
-		go func() {
-			defer s.done.Done()
+		if len(moves) > 0 {
 			s.execute(moves)
-		}()
+		}
 	}
 }
 
@@ -73,11 +66,6 @@
 // commitMoves writes the moves of a batch whose sources released the keys, and grants
 // the keys to the targets. It reports false when this daemon stepped down as keeper.
 func (s *serviceKeeper) commitMoves(batch []releaseResult) bool {
-	s.commits <- struct{}{}
-	defer func() { <-s.commits }()
-	if s.hasSteppedDown() {
-		return false
-	}
 	var released []releasedMove
 	for _, r := range batch {
 		if r.released != nil {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -76,6 +76,9 @@
 	h.earlierProcessUntil = s.earlierGrantsUntil
 	if earlier := s.holders[server.ID]; earlier != nil {
 		h.earlierProcessUntil = later(earlier.heldUntil, earlier.earlierProcessUntil)
+		if earlier.inFlight > 0 {
+			h.earlierProcessUntil = later(h.earlierProcessUntil, time.Now().Add(grantTimeout+maxGrantLifetime(s.keeper.grantHold())))
+		}
 	}
 	s.holders[server.ID] = h
 	return h
@@ -184,6 +187,10 @@
 	s.mu.Lock()
 	if result.sent {
 		h.recordSent(time.Now(), hold)
+		if current := s.holders[h.server.ID]; current != nil && current != h {
+			// The process was replaced during the call, which may have reached the new one.
+			current.earlierProcessUntil = later(current.earlierProcessUntil, h.heldUntil)
+		}
 		if result.err != nil {
 			h.unansweredUntil = h.heldUntil
 		}
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -47,10 +47,9 @@
 	earlierReleasesUntil time.Time
 	missingSince         map[model.ServerID]time.Time // when an owner was first seen unregistered in a likely outage
 	steppedDown          bool
-	balancedAt           time.Time     // when the last round of balancing began
-	noMovesBefore        time.Time     // after a failed write, see writeFailureDelay
-	storeSeenAt          time.Time     // when the store last answered; used by renewLoop only
-	commits              chan struct{} // semaphore of one: a batch of moves is committed at a time
+	balancedAt           time.Time // when the last round of balancing began
+	noMovesBefore        time.Time // after a failed write, see writeFailureDelay
+	storeSeenAt          time.Time // when the store last answered; used by renewLoop only
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -68,7 +67,6 @@
 		earlierGrantsUntil: earlierGrantsUntil,
 		missingSince:       map[model.ServerID]time.Time{},
 		storeSeenAt:        time.Now(),
-		commits:            make(chan struct{}, 1),
 	}
 	if owners.EarlierKeeperMayRenew {
 		s.earlierReleasesUntil = time.Now().Add(maxStoreAge + maxGrantLifetime(k.grantHold()))
