gateway: an attempt is given up only for another server, and not while draining

Change: an attempt is limited only if a server is left that the request was not sent to and that may run it, so never for a key's owner; whether it may be given up is asked when the limit is reached, and is no while the daemon drains. Tests: TestDrainingDaemonWaitsForSlowServer, TestRequestWaitsWhenNoOtherServerMayRunIt.

--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -43,9 +43,10 @@
 	Request *fasthttp.Request
 	// Deadline is the time by which the response is needed.
 	Deadline time.Time
-	// Limited says that the attempt may end earlier, when the server takes longer than
-	// the service does, so that the request can be sent again.
-	Limited bool
+	// MayGiveUp says whether the attempt may still end when the server takes longer than
+	// the service does, so that the request can be sent to another one. It is called from
+	// another goroutine at that time. Nil means that the attempt lasts until the deadline.
+	MayGiveUp func() bool
 	// LatencyObjective is the time within which the response is wanted; zero if there is none.
 	LatencyObjective time.Duration
 }
@@ -89,8 +90,8 @@
 	e.state.requestStarted()
 	defer e.state.requestEnded()
 	response := fasthttp.AcquireResponse()
-	limited, cancel := b.limit(ctx, e, a)
-	defer cancel()
+	limited, release := b.limit(ctx, e, a)
+	defer release()
 	result := b.exchange(limited, e, a, response)
 	result.Took = time.Since(started)
 	b.recordResult(e, a, &result, ctx.Err() != nil)
@@ -100,10 +101,10 @@
 	return result
 }
 
-// limit returns the context of an attempt. It ends with ErrNoAnswer when the attempt is
-// limited and takes longer than the service's attempts do.
-func (b *Backends) limit(ctx context.Context, e *endpoint, a *Attempt) (context.Context, context.CancelFunc) {
-	if !a.Limited {
+// limit returns the context of an attempt. It ends with ErrNoAnswer when the attempt
+// takes longer than the service's attempts do and may be given up.
+func (b *Backends) limit(ctx context.Context, e *endpoint, a *Attempt) (context.Context, func()) {
+	if a.MayGiveUp == nil {
 		return ctx, func() {}
 	}
 	now := time.Now()
@@ -116,7 +117,16 @@
 	if !exists {
 		return ctx, func() {}
 	}
-	return context.WithTimeoutCause(ctx, limit, ErrNoAnswer)
+	limited, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(limit, func() {
+		if a.MayGiveUp() {
+			cancel(ErrNoAnswer)
+		}
+	})
+	return limited, func() {
+		timer.Stop()
+		cancel(nil)
+	}
 }
 
 // exchange sends the request and reads the response.
--- a/internal/daemon/fenced_silence_test.go
+++ b/internal/daemon/fenced_silence_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"sync"
@@ -34,8 +35,9 @@
 		}
 		return nil
 	})
-	for range learnRequests {
+	for number := range learnRequests {
 		c.send(c.daemons[0], "GET", "/list/x", -1, "")
+		c.send(c.daemons[0], "GET", "/read/x", number, "")
 	}
 	return c
 }
@@ -63,6 +65,41 @@
 	must.Eq(t, 200, c.send(c.daemons[0], "POST", "/seal/x", -1, "").status)
 }
 
+// While a daemon drains, it breaks no request off at which a server is at work.
+func TestDrainingDaemonWaitsForSlowServer(t *testing.T) {
+	const running = 30 * time.Millisecond // the request has reached its server by then
+	c := newListCluster(t, 2, manySlots)
+	for _, s := range c.plainServers() {
+		s.SetFaults(fenced.Faults{ExtraServiceTime: requestTimeout / 2})
+	}
+	answered := make(chan response, 1)
+	go func() { answered <- c.send(c.daemons[0], "GET", "/list/x", -1, "") }()
+	time.Sleep(running)
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.daemons[0].Stop(context.Background()) }()
+	resp := <-answered
+	must.Eq(t, 200, resp.status)
+	must.Eq(t, 1, c.runs(resp.id))
+	must.NoError(t, <-stopped)
+}
+
+// A request for a key waits for the key's owner, which no other server can replace, and a
+// request for which no other server is left waits too.
+func TestRequestWaitsWhenNoOtherServerMayRunIt(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	for _, s := range c.servers {
+		s.SetFaults(fenced.Faults{ExtraServiceTime: requestTimeout / 2})
+	}
+	for _, target := range []struct {
+		path string
+		key  int
+	}{{"/read/x", 7}, {"/list/x", -1}} {
+		resp := c.send(c.daemons[0], "GET", target.path, target.key, "")
+		must.Eq(t, 200, resp.status)
+		must.Eq(t, 1, c.runs(resp.id))
+	}
+}
+
 // A server that hangs when it is full counts as full, not as broken: it serves again as
 // soon as it has room, and other requests are served meanwhile.
 func TestServerThatHangsWhenFullServesAgain(t *testing.T) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -218,22 +219,32 @@
 	c.lastServer = server.ID
 	c.tried = append(c.tried, server.ID)
 	return c.gateway.backends.Send(c.context, &backends.Attempt{
-		ID:       c.headers.ID,
-		Server:   server,
-		Keyed:    c.keyed,
-		Request:  request,
-		Deadline: c.deadline,
-		Limited:  c.mayRetryAfterSilence(),
-
+		ID:               c.headers.ID,
+		Server:           server,
+		Keyed:            c.keyed,
+		Request:          request,
+		Deadline:         c.deadline,
+		MayGiveUp:        c.mayGiveUp(),
 		LatencyObjective: c.route.LatencyObjective,
 	})
 }
 
-// mayRetryAfterSilence reports whether the request may be sent once more if the current
-// attempt is not answered.
-func (c *call) mayRetryAfterSilence() bool {
-	return c.route.Repeat == catalog.Idempotent && c.possibleRuns+1 < max(c.route.MaxServers, 1) &&
-		c.gateway.backends.RetryBudget().Allows(c.service)
+// mayGiveUp returns a function that says whether the current attempt may still be given up
+// for another one, or nil if the only thing to do is to wait: the request may run at most
+// once, or no other server may run it. While the daemon drains, no attempt is given up.
+func (c *call) mayGiveUp() func() bool {
+	if c.route.Repeat != catalog.Idempotent || c.requiresOwner() || c.possibleRuns+1 >= max(c.route.MaxServers, 1) || !c.hasUntriedServer() {
+		return nil
+	}
+	g, service := c.gateway, c.service
+	return func() bool { return !g.draining.Load() && g.backends.RetryBudget().Allows(service) }
+}
+
+// hasUntriedServer reports whether a server is left that the request was not sent to.
+func (c *call) hasUntriedServer() bool {
+	return slices.ContainsFunc(c.gateway.catalog.Load().ByService[c.service], func(server *catalog.Server) bool {
+		return !server.Leaving && !slices.Contains(c.tried, server.ID)
+	})
 }
 
 // hasRetryableStatus reports whether the response is a server error (5xx) to an
