standin: the store can return to an older copy

Nothing in our own tests could take back what the store had acknowledged. Versions are given out again; a feed call from a version that the store doesn't have gets 410, a waiting one ends with 503.

--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -96,7 +96,8 @@
 	runs         map[string]int  // number of runs by attempt id
 	deadlines    []time.Duration // time limits that the run requests stated
 	stopped      bool
-	sequence     int // number of the last registration
+	sequence     int    // number of the last registration
+	state        string // of the last registration; empty once it is removed
 }
 
 // keyGrant is the server's grant for one key. The zero value is no grant.
@@ -130,6 +131,7 @@
 
 func (s *Server) register(state string) {
 	s.sequence++
+	s.state = state
 	body, err := json.Marshal(map[string]any{
 		"Service": s.options.Service, "Address": s.Address(), "Zone": s.options.Zone, "Version": "v1",
 		"Capacity": s.options.Slots, "State": state, "WarmupLeftS": 0, "Sequence": s.sequence, "born": s.startedMS,
@@ -160,7 +162,24 @@
 func (s *Server) Drain() { s.register("draining") }
 
 // Unregister removes the registration, as the store does when the registration's lease expires.
-func (s *Server) Unregister() { s.options.Store.DeleteRow("servers", s.options.ID) }
+func (s *Server) Unregister() {
+	s.state = ""
+	s.options.Store.DeleteRow("servers", s.options.ID)
+}
+
+// RegisterAgain writes the registration again in its last state, as a server does after the
+// store has returned from an older copy. A registration that was removed is removed again,
+// and so is that of a crashed server, whose lease runs out.
+func (s *Server) RegisterAgain() {
+	s.mu.Lock()
+	stopped := s.stopped
+	s.mu.Unlock()
+	if stopped || s.state == "" {
+		s.Unregister()
+		return
+	}
+	s.register(s.state)
+}
 
 // StopListening accepts no new connections and closes the idle ones, as a server does
 // at the end of its drain. Running requests continue.
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -1,6 +1,6 @@
 // Package platformd implements a simulated platform for tests and experiments: an
 // in-memory store of rows and objects that is served over the platform's HTTP protocol, with
-// faults that tests inject. The instance list, which names the registered backend
+// faults that tests inject. The store can also return to an older copy of itself. The instance list, which names the registered backend
 // servers and daemons, is kept as rows of the store, as it is on the platform.
 package platformd
 
@@ -22,6 +22,7 @@
 	PathFaults   = "/standin/faults"   // PUT a Faults
 	PathRegister = "/standin/register" // POST an Instance; a state of "gone" removes it
 	PathCounts   = "/standin/counts"   // GET a Counts
+	PathRestore  = "/standin/restore"  // POST a Restoration
 )
 
 // StateGone is the state with which Register removes an instance from the list.
@@ -58,11 +59,14 @@
 
 // Server is the simulated platform.
 type Server struct {
-	mu      sync.Mutex
-	store   rowStore
-	objects map[string][]byte
-	pending []listChange // changes of the instance list that are not visible yet
-	faults  Faults
+	mu            sync.Mutex
+	era           uint64 // 1, plus the number of restores
+	store         rowStore
+	objects       map[string][]byte
+	objectWrites  []objectWrite           // within maxCopyAge, oldest first
+	pending       []listChange            // changes of the instance list that are not visible yet
+	registrations map[string]registration // newest of each instance, by its ID
+	faults        Faults
 
 	reads, writes, listReads, conflicts atomic.Int64
 
@@ -83,7 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{store: newRowStore(), objects: map[string][]byte{}, listener: listener}
+	s := &Server{
+		era: 1, store: newRowStore(), objects: map[string][]byte{},
+		registrations: map[string]registration{}, listener: listener,
+	}
 	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 64 * 1024 * 1024, Logger: discardLogger{}}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
@@ -116,12 +123,13 @@
 func (s *Server) Register(instance platform.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lag := time.Duration(s.faults.ListLagMS) * time.Millisecond
-	if lag == 0 {
+	at := time.Now().Add(time.Duration(s.faults.ListLagMS) * time.Millisecond)
+	s.registrations[instance.ID] = registration{at: at, instance: instance}
+	if s.faults.ListLagMS == 0 {
 		s.writeInstance(instance)
 		return
 	}
-	s.pending = append(s.pending, listChange{at: time.Now().Add(lag), instance: instance})
+	s.pending = append(s.pending, listChange{at: at, instance: instance})
 }
 
 // writeInstance writes or removes the row of an instance. The caller must hold s.mu.
@@ -190,6 +198,9 @@
 	}
 	faults := s.currentFaults()
 	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	s.mu.Lock()
+	s.setEra(ctx)
+	s.mu.Unlock()
 	if faults.refusesTable(string(ctx.QueryArgs().Peek("Table"))) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -233,6 +244,12 @@
 			return
 		}
 		s.Register(instance)
+	case PathRestore:
+		var r Restoration
+		if !decode(ctx, &r) {
+			return
+		}
+		s.Restore(time.Duration(r.AgeMS) * time.Millisecond)
 	case PathCounts:
 		writeJSON(ctx, s.Counts())
 	default:
@@ -242,16 +259,22 @@
 
 func decode(ctx *fasthttp.RequestCtx, out any) bool {
 	if err := json.Unmarshal(ctx.PostBody(), out); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		fail(ctx, fasthttp.StatusBadRequest, err)
 		return false
 	}
 	return true
 }
 
+// fail answers with an error. It keeps the headers that are set, unlike ctx.Error.
+func fail(ctx *fasthttp.RequestCtx, status int, err error) {
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(err.Error())
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		fail(ctx, fasthttp.StatusInternalServerError, err)
 		return
 	}
 	ctx.SetContentType("application/json")
--- a/internal/standin/platformd/rows.go
+++ b/internal/standin/platformd/rows.go
@@ -61,7 +61,9 @@
 type rowStore struct {
 	version   uint64
 	rows      map[rowName]Row
-	changes   []Row // oldest first
+	changes   []Row    // oldest first
+	commits   []commit // within maxCopyAge, oldest first
+	forgotten uint64   // version of the newest transaction that is not in commits any more
 	startedAt time.Time
 }
 
@@ -69,7 +71,7 @@
 
 // write applies one row as a separate transaction.
 func (s *rowStore) write(row Row) {
-	s.version++
+	s.commit(time.Now())
 	s.apply(row)
 }
 
@@ -77,6 +79,11 @@
 func (s *rowStore) apply(row Row) {
 	version := s.version
 	row.Ver = &version
+	s.record(row)
+}
+
+// record keeps a row with its version as the newest change.
+func (s *rowStore) record(row Row) {
 	if row.Tombstone {
 		row.Value = nil
 		delete(s.rows, row.name())
@@ -157,6 +164,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(ctx)
 	for _, condition := range tx.ExpectedRev {
 		if !s.store.conditionMet(condition) {
 			s.conflicts.Add(1)
@@ -164,7 +172,7 @@
 			return
 		}
 	}
-	s.store.version++
+	s.store.commit(time.Now())
 	lastKey := ""
 	for _, row := range tx.SetKeys {
 		s.store.apply(row)
@@ -204,6 +212,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(ctx)
 	s.applyPending(time.Now())
 	var rows []Row
 	for _, row := range s.store.rows {
@@ -228,7 +237,9 @@
 }
 
 // waitChanges answers with the changes of a table after a version. While there are none, it
-// waits for the time that the call asks for, at most maxChangeWait, and then answers with no rows.
+// waits for the time that the call asks for, at most maxChangeWait, and then answers with no
+// rows. It answers with status 410 if the store is not yet at that version, and with 503 if
+// the store is restored during the wait.
 func (s *Server) waitChanges(ctx *fasthttp.RequestCtx, faults Faults) {
 	arguments := ctx.QueryArgs()
 	table := string(arguments.Peek("Table"))
@@ -238,26 +249,43 @@
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
 	}
+	era := s.Era()
 	deadline := time.Now().Add(min(time.Duration(arguments.GetUintOrZero("WaitMs"))*time.Millisecond, maxChangeWait))
-	for {
-		response := s.changesAfter(table, after)
-		if len(response.Rows) > 0 || time.Now().After(deadline) {
-			writeJSON(ctx, response)
-			return
-		}
+	for !s.answerChanges(ctx, era, table, after, deadline) {
 		time.Sleep(changePollPeriod)
 	}
 }
 
-func (s *Server) changesAfter(table string, after uint64) rowsResponse {
+// answerChanges answers a call that has waited for changes since the given era, or returns
+// false while there is nothing to answer.
+func (s *Server) answerChanges(ctx *fasthttp.RequestCtx, era uint64, table string, after uint64, deadline time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(ctx)
 	s.applyPending(time.Now())
+	switch {
+	case s.era != era:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return true
+	case after > s.store.version:
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return true
+	}
+	rows := s.store.changesAfter(table, after)
+	if len(rows) == 0 && time.Now().Before(deadline) {
+		return false
+	}
+	writeJSON(ctx, s.response(rows, false))
+	return true
+}
+
+// changesAfter returns the changes of a table after a version, oldest first.
+func (s *rowStore) changesAfter(table string, after uint64) []Row {
 	var rows []Row
-	for _, row := range s.store.changes {
+	for _, row := range s.changes {
 		if row.Table == table && *row.Ver > after {
 			rows = append(rows, row)
 		}
 	}
-	return s.response(rows, false)
+	return rows
 }
--- a/scenarios/cmd_fleet_test.go
+++ b/scenarios/cmd_fleet_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -303,6 +304,7 @@
 //
 //	platform fault JSON               replaces its faults by the given platformd.Faults
 //	platform clear                    removes its faults
+//	platform restore AGE              returns its store to a copy of that age, such as 5s
 //	platform live|leaving|gone NAME   sets the state of an instance in the instance list
 func cmdPlatform(sc *scenario, ts *testscript.TestScript, _ bool, args []string) {
 	switch args[0] {
@@ -310,6 +312,10 @@
 		sc.mustCall(ts, fasthttp.MethodPut, sc.platformAddress(), platformd.PathFaults, args[1])
 	case "clear":
 		sc.mustCall(ts, fasthttp.MethodPut, sc.platformAddress(), platformd.PathFaults, platformd.Faults{})
+	case "restore":
+		age, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		sc.mustCall(ts, fasthttp.MethodPost, sc.platformAddress(), platformd.PathRestore, platformd.Restoration{AgeMS: int(age.Milliseconds())})
 	case "live", "leaving", "gone":
 		instance := sc.instance(ts, args[1])
 		instance.State = platform.InstanceState(args[0])
