--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -41,8 +41,10 @@
 	servers []*fenced.Server
 	slots   int // of each server that is started
 	version int
-	ids     int
-	mu      sync.Mutex
+	// configuration is the operators' configuration as it was written last.
+	configuration []byte
+	ids           int
+	mu            sync.Mutex
 }
 
 // route is one path rule of the operators' configuration. service names the service
@@ -110,6 +112,7 @@
 		"VirtualHosts": []map[string]any{{"Host": host, "Paths": paths}},
 	})
 	must.NoError(c.t, err)
+	c.configuration = body
 	c.store.PutRow("op", "config", body)
 }
 
