--- /dev/null
+++ b/internal/follow/restored_test.go
@@ -0,0 +1,206 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/control"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/rpc"
+)
+
+// jsonDialect decodes registrations that are encoded catalog.Servers.
+type jsonDialect struct{ dialect.Dialect }
+
+// DecodeServer implements dialect.Dialect.
+func (jsonDialect) DecodeServer(r platform.Record, _ time.Time) (*catalog.Server, error) {
+	var server catalog.Server
+	if err := json.Unmarshal(r.Value, &server); err != nil {
+		return nil, err
+	}
+	server.ID = model.ServerID(r.Name)
+	return &server, nil
+}
+
+// registry is a follower whose copy of the registrations a test fills in.
+type registry struct {
+	t        *testing.T
+	follower *Follower
+	loop     *control.Loop
+}
+
+func newRegistry(t *testing.T) *registry {
+	metricsRegistry := metrics.New()
+	loop := control.NewLoop()
+	t.Cleanup(loop.Close)
+	c := &config.Config{Name: "d1", Zone: "z1", Fenced: &config.Fenced{Cores: 1}}
+	client := rpc.NewClient(&netx.Network{}, metricsRegistry)
+	f := New(c, loop, &fakeStore{}, jsonDialect{}, catalog.New(), rpc.NewServer(metricsRegistry), client, metricsRegistry, zap.NewNop())
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	return &registry{t: t, follower: f, loop: loop}
+}
+
+// at returns a registration of a server in the state of a position.
+func at(position platform.Position, id string, server catalog.Server) wireRecord {
+	value, err := json.Marshal(server)
+	if err != nil {
+		panic(err) // cannot happen: numbers, strings and times always encode
+	}
+	return wireRecord{Name: id, Value: value, Position: position}
+}
+
+// read applies a full read of the registrations.
+func (r *registry) read(position platform.Position, records ...wireRecord) {
+	r.apply(update{Full: true, Position: position, Records: records})
+}
+
+func (r *registry) apply(u update) {
+	r.follower.markStoreAnswered()
+	r.follower.applyUpdate(platform.Servers, u)
+	synctest.Wait()
+}
+
+// pass lets time pass while the store goes on answering.
+func (r *registry) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+		r.follower.markStoreAnswered()
+	}
+	synctest.Wait()
+}
+
+// server returns a server as requests see it, or nil.
+func (r *registry) server(id model.ServerID) *catalog.Server {
+	return r.follower.catalog.Load().Servers[id]
+}
+
+func era(e platform.Era, revision platform.Revision) platform.Position {
+	return platform.Position{Era: e, Revision: revision}
+}
+
+// A server had said that it leaves. The store came back from a copy in which it had not,
+// and the server got requests again until it wrote its registration anew.
+func TestLeavingServerStaysLeavingWhenTheStoreForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 5, Sequence: 20, Leaving: true}))
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12}))
+		must.True(t, r.server("s1").Leaving)
+		r.apply(update{Position: era(2, 5), Records: []wireRecord{at(era(2, 5), "s1", catalog.Server{StartedMS: 5, Sequence: 21, Leaving: true})}})
+		r.pass(10 * time.Second)
+		must.True(t, r.server("s1").Leaving)
+	})
+}
+
+// A server that had left came back with the copy and got requests that nobody served.
+func TestDepartedServerDoesNotComeBackWithAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 8), at(era(1, 8), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+		r.apply(update{Position: era(1, 9), Records: []wireRecord{{Name: "s1", Position: era(1, 9), Deleted: true}}})
+		r.pass(deregisteredGrace + time.Second)
+		must.Nil(t, r.server("s1"))
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12}))
+		must.Nil(t, r.server("s1"))
+		r.apply(update{Position: era(2, 5), Records: []wireRecord{{Name: "s1", Position: era(2, 5), Deleted: true}}})
+		r.pass(10 * time.Second)
+		must.Nil(t, r.server("s1"))
+	})
+}
+
+// A server whose registration had only lapsed is alive: the store keeps the one of the
+// copy, and the server is used again.
+func TestLapsedServerIsUsedAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 8), at(era(1, 8), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+		r.apply(update{Position: era(1, 9), Records: []wireRecord{{Name: "s1", Position: era(1, 9), Deleted: true}}})
+		r.pass(deregisteredGrace + time.Second)
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12}))
+		r.pass(registrationSettleTime + time.Second)
+		must.NotNil(t, r.server("s1"))
+		must.False(t, r.server("s1").Leaving)
+	})
+}
+
+// A server that registered after the copy was taken is used on: it registers again soon.
+// Only if it doesn't is it gone.
+func TestServerMissingInTheOlderCopyIsUsedUntilItRegisters(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRegistry(t)
+			r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+			r.read(era(2, 4))
+			r.pass(missingRegistrationGrace / 2)
+			must.False(t, r.server("s1").Leaving)
+			if returns {
+				r.apply(update{Position: era(2, 5), Records: []wireRecord{at(era(2, 5), "s1", catalog.Server{StartedMS: 5, Sequence: 21})}})
+			}
+			r.pass(missingRegistrationGrace + deregisteredGrace + time.Second)
+			must.Eq(t, returns, r.server("s1") != nil)
+		})
+	}
+}
+
+// A server's later process keeps its place when the copy lists the earlier one.
+func TestLaterProcessIsNotReplacedByAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 7, Sequence: 2, Address: "b"}))
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12, Address: "a"}))
+		must.Eq(t, "b", r.server("s1").Address)
+	})
+}
+
+// The keeper takes a server for crashed, and moves its keys at once, when the store has it
+// registered but nothing listens. Right after a restore the registration may be one that
+// the server has long replaced by one that says that it leaves and still works.
+func TestRegistrationsProveNothingRightAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9))
+		_, _, err := r.follower.ReadRegistration(context.Background(), "s1")
+		must.NoError(t, err)
+		r.read(era(2, 4))
+		r.follower.serversReadAt = time.Now().Add(time.Hour) // the store need not be read again
+		_, _, err = r.follower.ReadRegistration(context.Background(), "s1")
+		must.Error(t, err)
+		r.pass(registrationSettleTime + time.Second)
+		_, _, err = r.follower.ReadRegistration(context.Background(), "s1")
+		must.NoError(t, err)
+	})
+}
+
+// A daemon that restarted with an older copy of the owners must not replace what others
+// know, and a keeper that has not heard of the new era must not be followed.
+func TestOwnersOfAnEarlierEraDoNotReplaceKnownOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		record := func(e platform.Era, position platform.Position, keeper model.DaemonID) wireRecord {
+			value, err := EncodeOwners(&catalog.Owners{Service: "drafts", Keeper: keeper})
+			must.NoError(t, err)
+			return wireRecord{Name: OwnersRecordName("drafts", e), Value: value, Position: position}
+		}
+		publish := func(u update) model.DaemonID {
+			r.follower.applyUpdate(platform.Shared, u)
+			synctest.Wait()
+			return r.follower.catalog.Load().Owners["drafts"].Keeper
+		}
+		must.Eq(t, "new", publish(update{Full: true, Position: era(1, 90), Records: []wireRecord{record(1, era(1, 90), "new")}}))
+		must.Eq(t, "new", publish(update{Full: true, Position: era(2, 40), Records: []wireRecord{record(1, era(2, 40), "old")}}))
+		must.Eq(t, "new", publish(update{Position: era(2, 95), Records: []wireRecord{record(1, era(2, 95), "late")}}))
+		must.Eq(t, "next", publish(update{Position: era(2, 96), Records: []wireRecord{record(2, era(2, 96), "next")}}))
+	})
+}
