--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -67,8 +67,9 @@
 func (f *Follower) followCollection(ctx context.Context, c platform.Collection) {
 	failing := false
 	defer func() { f.countFailing(failing, false) }()
+	rereads := rereadLimiter{}
 	for ctx.Err() == nil {
-		err := f.pollStore(ctx, c)
+		err := f.pollStore(ctx, c, &rereads)
 		if err != nil && !failing {
 			f.log.Warn("polls of the store fail", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 		}
@@ -114,8 +115,8 @@
 
 // pollStore waits for the next changes of a collection and applies them. It reads the
 // whole collection when there is no copy yet, or the store does not have the changes since
-// the copy's position.
-func (f *Follower) pollStore(ctx context.Context, c platform.Collection) error {
+// the copy's position; it does the latter at the rate of rereads.
+func (f *Follower) pollStore(ctx context.Context, c platform.Collection, rereads *rereadLimiter) error {
 	if f.replicas[c].completeUpTo().IsZero() {
 		return f.readCollection(ctx, c)
 	}
@@ -129,11 +130,13 @@
 	f.storeCalls.Inc()
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.log.Info("the store does not have the changes since the last poll, reading the whole collection", zap.String("collection", string(c)), zap.Error(err))
+		sleep(ctx, rereads.pause())
 		return f.readCollection(ctx, c)
 	}
 	if err != nil {
 		return err
 	}
+	rereads.reset()
 	f.markStoreAnswered()
 	f.applyUpdate(c, update{Records: wireRecords(page.Records), Position: page.Position})
 	if len(page.Records) > 0 {
