keeper: the ownership model gains a store that comes back from an older copy

The model's store never lost what it had acknowledged, so nothing in it could fail on a restore. It now keeps a copy after each change and returns to the one of 0 to 20 s ago, also one of a time that a restore took back: era + 1, revisions given out again, late writes landing in the next era. Servers register again up to 2 s later, registrations of ended ones expire after 3 s, and daemons doubt what they read as follow.Follower does. New events: restore (with the keeper killed right after), two and all three daemons killed together, answers of the store lost to one daemon. Three daemons instead of two.

--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -23,6 +23,7 @@
 const (
 	modelGroups       = 6 // subtests that play histories in parallel
 	modelServers      = 4
+	modelDaemons      = 3
 	modelLogBytes     = 20_000           // bytes of the keepers' log that a failure prints
 	modelQuiesceTime  = 10 * time.Second // after the keepers' end, until no message or work is left
 	modelRecoveryTime = 24 * time.Second // after the last event: longer than grants of a keeper that is cut off from the store last
@@ -35,24 +36,31 @@
 	index    int           // of the server or daemon that it affects
 	duration time.Duration
 	key      int
+	age      time.Duration // of the copy from which the store comes back
 }
 
 var eventKinds = []string{
 	"crash", "crash", "replaced at its address", "restarted", "leave", "leave", "server silent", "registration lapses",
 	"store down", "store cut off from one daemon", "lose writes", "late writes",
 	"lose grants", "late grants", "late releases",
-	"lingering grants", "keeper killed", "keeper paused", "keeper isolated", "work", "work", "work", "hot key", "hot key",
+	"lingering grants", "keeper killed", "keeper paused", "keeper isolated",
+	"store restored", "store restored", "store restored", "store answers no longer reach one daemon",
+	"store restored and keeper killed", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
 }
 
 func drawHistory(t *rapid.T) []event {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
-		return event{
+		e := event{
 			kind:     rapid.SampledFrom(eventKinds).Draw(t, "kind"),
 			pause:    time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond,
 			index:    rapid.IntRange(0, modelServers-1).Draw(t, "index"),
 			duration: time.Duration(rapid.IntRange(50, 4000).Draw(t, "duration")) * time.Millisecond,
 			key:      rapid.IntRange(0, catalog.LastKey).Draw(t, "key"),
 		}
+		if strings.HasPrefix(e.kind, "store restored") {
+			e.age = time.Duration(rapid.IntRange(0, 20_000).Draw(t, "age")) * time.Millisecond
+		}
+		return e
 	}), 4, 16).Draw(t, "history")
 }
 
@@ -70,7 +78,7 @@
 	h.incarnations++
 	d := &simDaemon{
 		sim: h.simulation, catalog: catalog.New(), storeSeenAt: time.Now(),
-		records: map[string]platform.Record{}, era: platform.FirstEra,
+		records: map[string]platform.Record{}, era: platform.FirstEra, registrations: newRegistrations(),
 		self: follow.Daemon{Name: model.DaemonID(fmt.Sprintf("daemon-%d", index)), Incarnation: model.Incarnation(fmt.Sprintf("life-%d", h.incarnations))},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -163,6 +171,21 @@
 		d.mu.Lock()
 		d.storeCutUntil = time.Now().Add(2 * e.duration)
 		d.mu.Unlock()
+	case "store restored":
+		h.comeBack(e)
+	case "store restored and keeper killed":
+		index := h.keeperIndex()
+		h.comeBack(e)
+		h.restartDaemons(e.duration/8, index)
+	case "two daemons killed":
+		h.restartDaemons(e.duration, e.index%modelDaemons, (e.index+1)%modelDaemons)
+	case "all daemons killed":
+		h.restartDaemons(e.duration, 0, 1, 2)
+	case "store answers no longer reach one daemon":
+		d := h.daemons[e.index%len(h.daemons)]
+		d.mu.Lock()
+		d.deafUntil = time.Now().Add(2 * e.duration)
+		d.mu.Unlock()
 	case "work":
 		h.startWork(e.key, e.duration)
 	case "hot key":
@@ -182,7 +205,7 @@
 		h.servers[e.index].silentUntil = time.Now().Add(e.duration)
 	case "registration lapses":
 		p := h.servers[e.index]
-		delete(h.registry, p.registered.ID)
+		h.deregister(p.registered)
 		time.AfterFunc(2*e.duration, func() { h.reregister(p) })
 	case "store down":
 		h.storeDownUntil = time.Now().Add(e.duration)
@@ -204,9 +227,7 @@
 func (h *history) unregister(s *catalog.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.registry[s.ID] == s {
-		delete(h.registry, s.ID)
-	}
+	h.deregister(s)
 }
 
 // reregister restores the registration of a server after it lapsed.
@@ -214,7 +235,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !p.ended && !p.notListening && h.registry[p.registered.ID] == nil {
-		h.registry[p.registered.ID] = p.registered
+		h.register(p.registered)
 	}
 }
 
@@ -227,12 +248,38 @@
 
 // restartDaemon kills a daemon's process and starts a new one under the same name.
 func (h *history) restartDaemon(index int) {
+	h.killDaemon(index)
+	h.startDaemon(index)
+}
+
+// killDaemon kills a daemon's process.
+func (h *history) killDaemon(index int) {
 	d := h.daemons[index]
 	d.mu.Lock()
 	d.killed = true
 	d.mu.Unlock()
 	d.stop()
-	h.startDaemon(index)
+}
+
+// restartDaemons kills daemons together and starts them again after a time.
+func (h *history) restartDaemons(after time.Duration, indexes ...int) {
+	for _, index := range indexes {
+		h.killDaemon(index)
+	}
+	time.Sleep(after)
+	for _, index := range indexes {
+		h.startDaemon(index)
+	}
+}
+
+// comeBack has the store go down and come back from an older copy.
+func (h *history) comeBack(e event) {
+	down := e.duration / 4
+	h.mu.Lock()
+	h.storeDownUntil = time.Now().Add(down)
+	h.mu.Unlock()
+	time.Sleep(down)
+	h.restore(e.age, e.duration/2)
 }
 
 // unownedKey returns a key that no running server holds. It samples every 499th key.
@@ -262,7 +309,7 @@
 		id := fmt.Sprintf("server-%d", i)
 		h.startServer(i, id, id)
 	}
-	for index := range 2 {
+	for index := range modelDaemons {
 		h.startDaemon(index)
 	}
 	time.Sleep(2 * time.Second)
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"syscall"
@@ -125,6 +126,7 @@
 	position  platform.Position
 	records   map[string]platform.Record // the owners of the service, by era
 	registry  map[model.ServerID]*catalog.Server
+	copies    []storeCopy // one after each change, oldest first
 	processes []*process
 	byAddress map[string]*process
 	daemons   []*simDaemon
@@ -160,7 +162,12 @@
 }
 
 func newSimulation() *simulation {
-	return &simulation{position: platform.Position{Era: platform.FirstEra}, records: map[string]platform.Record{}, registry: map[model.ServerID]*catalog.Server{}, byAddress: map[string]*process{}}
+	sim := &simulation{
+		position: platform.Position{Era: platform.FirstEra}, records: map[string]platform.Record{},
+		registry: map[model.ServerID]*catalog.Server{}, byAddress: map[string]*process{},
+	}
+	sim.keepCopy()
+	return sim
 }
 
 func (sim *simulation) reportViolation(format string, args ...any) {
@@ -176,7 +183,7 @@
 	}}
 	sim.processes = append(sim.processes, p)
 	sim.byAddress[address] = p
-	sim.registry[id] = p.registered
+	sim.register(p.registered)
 	return p
 }
 
@@ -194,8 +201,9 @@
 	sim.mu.Lock()
 	leaving := *p.registered
 	leaving.Leaving = true
+	leaving.Sequence++
 	p.registered = &leaving
-	sim.registry[leaving.ID] = &leaving
+	sim.register(&leaving)
 	sim.mu.Unlock()
 	go func() {
 		time.Sleep(listens)
@@ -204,9 +212,7 @@
 		sim.mu.Unlock()
 		time.Sleep(1500 * time.Millisecond)
 		sim.mu.Lock()
-		if sim.registry[leaving.ID] == &leaving {
-			delete(sim.registry, leaving.ID)
-		}
+		sim.deregister(&leaving)
 		sim.mu.Unlock()
 		time.Sleep(1500 * time.Millisecond)
 		sim.end(p)
@@ -425,6 +431,8 @@
 	storeSeenAt   time.Time
 	pausedUntil   time.Time // the process is paused
 	storeCutUntil time.Time // the store does not answer this daemon
+	deafUntil     time.Time // the store does what this daemon asks, but its answers are lost
+	registrations registrations
 	isolatedUntil time.Time // the other daemons can't reach it
 	killed        bool
 	ctx           context.Context
@@ -465,7 +473,7 @@
 	}
 	time.Sleep(modelMessageDelay)
 	d.mu.Lock()
-	cut := time.Now().Before(d.storeCutUntil)
+	cut, deaf := time.Now().Before(d.storeCutUntil), time.Now().Before(d.deafUntil)
 	d.mu.Unlock()
 	sim := d.sim
 	sim.mu.Lock()
@@ -474,6 +482,9 @@
 		return platform.ErrUnavailable
 	}
 	err := f(sim)
+	if deaf {
+		return platform.ErrAmbiguous
+	}
 	if !errors.Is(err, platform.ErrAmbiguous) {
 		d.mu.Lock()
 		d.storeSeenAt = time.Now()
@@ -518,6 +529,7 @@
 	sim.position.Revision++
 	r.Position = sim.position
 	sim.records[r.Name] = r
+	sim.keepCopy()
 	return true
 }
 
@@ -572,11 +584,21 @@
 
 // ReadRegistration implements fleetView.
 func (d *simDaemon) ReadRegistration(ctx context.Context, id model.ServerID) (server *catalog.Server, found bool, err error) {
+	var era platform.Era
 	err = d.callStore(ctx, func(sim *simulation) error {
-		server, found = sim.registry[id], sim.registry[id] != nil
+		server, found, era = sim.registry[id], sim.registry[id] != nil, sim.position.Era
 		return nil
 	})
-	return server, found, err
+	if err != nil {
+		return nil, false, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registrations.enterEra(era, time.Now())
+	if time.Now().Before(d.registrations.settleAt) {
+		return nil, false, errors.New("the registration may be outdated")
+	}
+	return server, found, nil
 }
 
 // SharedRecord implements fleetView.
@@ -643,18 +665,19 @@
 func (d *simDaemon) poll(ctx context.Context, period time.Duration) {
 	for ctx.Err() == nil {
 		time.Sleep(period)
-		servers := map[model.ServerID]*catalog.Server{}
+		var servers map[model.ServerID]*catalog.Server
+		var era platform.Era
 		err := d.callStore(ctx, func(sim *simulation) error {
-			for id, server := range sim.registry {
-				servers[id] = server
-			}
+			servers, era = maps.Clone(sim.registry), sim.position.Era
 			return nil
 		})
 		if err != nil {
 			continue
 		}
 		d.mu.Lock()
-		d.catalog.PublishServers(servers)
+		d.registrations.enterEra(era, time.Now())
+		d.registrations.apply(servers, time.Now())
+		d.catalog.PublishServers(d.registrations.servers)
 		d.mu.Unlock()
 		d.RefreshShared(ctx)
 	}
