follow: daemons that are not designated leave reads after a restored store to others

Cause: while the store is away, daemons that poll another daemon turn to the store themselves; at its return each read all three collections, 6 calls a daemon at one moment (195 daemons: over 1,000). Change: at the first answer without the changes such a daemon goes back to the designated daemons, and reads itself only if that brings it nothing.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,6 +61,7 @@
 	log         *zap.Logger
 
 	replicas map[platform.Collection]*replica
+	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
 	mu          sync.Mutex
 	daemons     map[model.DaemonID]Daemon
@@ -109,6 +110,7 @@
 		storeCalls:  registry.Counter(`store_calls_total`),
 		log:         log.Named(string(ServiceName)),
 		replicas:    map[platform.Collection]*replica{},
+		rereads:     map[platform.Collection]*rereadLimiter{},
 		daemons:     map[model.DaemonID]Daemon{},
 		suspectedAt: map[model.DaemonID]time.Time{},
 		changed:     make(chan struct{}),
@@ -117,6 +119,7 @@
 	}
 	for _, c := range collections {
 		f.replicas[c] = newReplica(c == platform.Shared)
+		f.rereads[c] = &rereadLimiter{}
 	}
 	rpc.Handle(server, methodPoll, f.servePoll)
 	return f
--- a/internal/follow/reread.go
+++ b/internal/follow/reread.go
@@ -1,8 +1,12 @@
 package follow
 
 import (
+	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/retry"
 )
 
@@ -21,6 +25,22 @@
 	again   bool // the collection has been read since the last successful poll
 }
 
+// reread reads a whole collection after the store has said why it does not have the changes
+// since the last poll. A daemon that is not designated leaves the first read to those that
+// are, and polls one of them, so that a large fleet does not read the store all at once.
+func (f *Follower) reread(ctx context.Context, c platform.Collection, why error) error {
+	limiter := f.rereads[c]
+	first := !limiter.again
+	pause := limiter.pause()
+	if first && !f.Designated() {
+		f.log.Info("the store does not have the changes since the last poll, asking the other daemons", zap.String("collection", string(c)), zap.Error(why))
+		return nil
+	}
+	f.log.Info("the store does not have the changes since the last poll, reading the whole collection", zap.String("collection", string(c)), zap.Error(why))
+	sleep(ctx, pause)
+	return f.readCollection(ctx, c)
+}
+
 // pause returns the time to wait before the next read.
 func (l *rereadLimiter) pause() time.Duration {
 	if !l.again {
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -67,9 +67,8 @@
 func (f *Follower) followCollection(ctx context.Context, c platform.Collection) {
 	failing := false
 	defer func() { f.countFailing(failing, false) }()
-	rereads := rereadLimiter{}
 	for ctx.Err() == nil {
-		err := f.pollStore(ctx, c, &rereads)
+		err := f.pollStore(ctx, c)
 		if err != nil && !failing {
 			f.log.Warn("polls of the store fail", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 		}
@@ -115,8 +114,8 @@
 
 // pollStore waits for the next changes of a collection and applies them. It reads the
 // whole collection when there is no copy yet, or the store does not have the changes since
-// the copy's position; it does the latter at the rate of rereads.
-func (f *Follower) pollStore(ctx context.Context, c platform.Collection, rereads *rereadLimiter) error {
+// the copy's position.
+func (f *Follower) pollStore(ctx context.Context, c platform.Collection) error {
 	if f.replicas[c].completeUpTo().IsZero() {
 		return f.readCollection(ctx, c)
 	}
@@ -129,14 +128,12 @@
 	page, err := f.store.Changes(waitCtx, c, f.replicas[c].completeUpTo(), wait)
 	f.storeCalls.Inc()
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.log.Info("the store does not have the changes since the last poll, reading the whole collection", zap.String("collection", string(c)), zap.Error(err))
-		sleep(ctx, rereads.pause())
-		return f.readCollection(ctx, c)
+		return f.reread(ctx, c, err)
 	}
 	if err != nil {
 		return err
 	}
-	rereads.reset()
+	f.rereads[c].reset()
 	f.markStoreAnswered()
 	f.applyUpdate(c, update{Records: wireRecords(page.Records), Position: page.Position})
 	if len(page.Records) > 0 {
