kernel, gateway: draining begins at SIGTERM, not after the keeper has stepped down

What callers see: a daemon that is keeper goes on saying it is ready after SIGTERM and accepts requests that it may have to cut off when the grace period ends (LOST). Cause: the kernel drains services one after another, the keeper first, and the gateway counted its times (2.5 s for requests, 3.5 s for connections) from its own turn. The keeper waits for its calls in progress, and a call of the store lasts until its own time limit, 1 s for a write and 1.5 s for the read that may follow it, though it was cancelled. Why this works: the kernel tells services of the shutdown before it drains any; the gateway's times count from there, whatever other services wait for. Tests: also TestServicesLearnOfShutdownBeforeAnyDrains. In TestWorkIsDrainedWhileAllServicesRun the list of calls has the new call; all others are compared as before. Not shown: that this is what the users saw.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,14 +211,20 @@
 	return nil
 }
 
+// BeginShutdown implements kernel.ShutdownObserver. The time for which requests are
+// accepted is counted from here, whatever the other services wait for when they drain.
+func (g *Gateway) BeginShutdown() {
+	g.drainingSince.Store(time.Now().UnixNano())
+	g.draining.Store(true)
+}
+
 // Drain implements kernel.Drainer. Connections are accepted until the load balancer
 // has had time to notice that the daemon is not ready; then the requests in
 // progress are finished.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.drainingSince.Store(time.Now().UnixNano())
-	g.draining.Store(true)
+	noticed := time.Unix(0, g.drainingSince.Load()).Add(balancerNoticeTime)
 	select {
-	case <-time.After(balancerNoticeTime):
+	case <-time.After(time.Until(noticed)):
 	case <-ctx.Done():
 	}
 	err := g.callerServer.ShutdownWithContext(ctx)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -43,6 +43,14 @@
 	Drain(ctx context.Context) error
 }
 
+// ShutdownObserver is a service that has to know of the shutdown at once, before the
+// services drain one after another.
+type ShutdownObserver interface {
+	Service
+	// BeginShutdown is called once, before any Drain. It does not block.
+	BeginShutdown()
+}
+
 // Kernel holds the container and the services in the order of their start.
 type Kernel struct {
 	container *dig.Container
@@ -194,8 +202,17 @@
 const daemonName Name = "daemon"
 
 // BeginShutdown makes the daemon report that it is not ready, so that it gets no
-// new work.
-func (k *Kernel) BeginShutdown() { k.shuttingDown.Store(true) }
+// new work, and tells the started services that are ShutdownObservers.
+func (k *Kernel) BeginShutdown() {
+	if k.shuttingDown.Swap(true) {
+		return
+	}
+	for _, s := range k.services[:k.started.Load()] {
+		if observer, ok := s.(ShutdownObserver); ok {
+			observer.BeginShutdown()
+		}
+	}
+}
 
 // Drain drains the services that are Drainers, in the reverse order of the start,
 // while all services run. It returns the first error.
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -72,7 +72,23 @@
 	must.False(t, k.Readiness()[2].Ready)
 	must.NoError(t, k.Drain(context.Background()))
 	must.NoError(t, k.Stop(context.Background()))
-	must.Eq(t, []string{"start table", "start routing", "drain table", "stop routing", "stop table"}, log.calls)
+	must.Eq(t, []string{"start table", "start routing", "begin shutdown of routing", "drain table", "stop routing", "stop table"}, log.calls)
+}
+
+func (r *routing) BeginShutdown() {
+	r.log.calls = append(r.log.calls, "begin shutdown of routing")
+}
+
+// A service that drains slowly must not keep the others from learning of the shutdown.
+func TestServicesLearnOfShutdownBeforeAnyDrains(t *testing.T) {
+	log := &callLog{}
+	k, err := build(t, log, nil)
+	must.NoError(t, err)
+	must.NoError(t, k.Start(context.Background()))
+	k.BeginShutdown()
+	k.BeginShutdown()
+	must.NoError(t, k.Drain(context.Background()))
+	must.Eq(t, []string{"start table", "start routing", "begin shutdown of routing", "drain table"}, log.calls)
 }
 
 func TestFailedStartStopsStartedServices(t *testing.T) {
