daemon, kernel: the process exits when its grace period is over

Cause: the services' Stop waits for their background work, and a call of the store in progress ends only at its own time limit (up to 2.2 s for a poll), though it was cancelled; the daemon starts to stop them when the requests have ended, at the latest 0.7 s before it is killed. Why this works: Stop returns 0.1 s after its context has ended, whatever still stops, logs that, and the process exits. A later call waits for the first one, so that no service is stopped twice.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,21 +158,44 @@
 // and coordination. A handover cannot succeed while the platform is unavailable.
 const handOverTimeout = 10 * time.Second
 
+// stopMargin is how long Stop waits for the services beyond the end of its context.
+const stopMargin = 100 * time.Millisecond
+
 // Stop shuts the daemon down gracefully: it becomes not ready, hands over its
 // duties, finishes the requests in progress until ctx ends, and stops all services.
-// The error tells what was aborted.
+// It does not wait for a service that is still stopping after ctx has ended. The error
+// tells what was aborted.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.kernel.BeginShutdown()
 	if d.config.Fenced == nil {
 		d.handOver(ctx)
 	}
 	err := d.kernel.Drain(ctx)
-	if stopErr := d.stopServices(ctx); err == nil {
+	if stopErr := d.stopServicesInTime(ctx); err == nil {
 		err = stopErr
 	}
 	return err
 }
 
+// stopServicesInTime stops the services and returns at the latest stopMargin after the
+// end of ctx.
+func (d *Daemon) stopServicesInTime(ctx context.Context) error {
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.stopServices(ctx) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-stopped:
+		return err
+	case <-time.After(stopMargin):
+		d.log.Error("services are still stopping, not waiting for them", zap.String("step", "stop"), zap.Error(ctx.Err()))
+		return errors.Wrap(ctx.Err(), "stop services")
+	}
+}
+
 // handOver transfers dispatching and coordination to other daemons. A failure is
 // only logged, since the daemon shuts down regardless.
 func (d *Daemon) handOver(ctx context.Context) {
--- a/internal/daemon/fenced_shutdown_test.go
+++ b/internal/daemon/fenced_shutdown_test.go
@@ -38,3 +38,16 @@
 	c.store.SetFaults(platformd.Faults{})
 	must.NoError(t, <-stopped)
 }
+
+const shortGrace = 300 * time.Millisecond
+
+// A daemon whose call of the store is in progress must exit when the grace period is over,
+// before it is killed.
+func TestStopEndsWithTheGracePeriod(t *testing.T) {
+	c := newCluster(t, 1, 1, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), shortGrace)
+	defer cancel()
+	started := time.Now()
+	must.Error(t, c.daemons[0].Stop(ctx))
+	must.Less(t, 3*shortGrace, time.Since(started))
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,7 @@
 	// the start and the stop.
 	started      atomic.Int32
 	shuttingDown atomic.Bool
+	stopping     sync.Mutex // held by Stop
 }
 
 // New returns an empty kernel.
@@ -231,8 +233,10 @@
 }
 
 // Stop stops the started services in the reverse order of the start and returns the
-// first error.
+// first error. A second call waits for the first one.
 func (k *Kernel) Stop(ctx context.Context) error {
+	k.stopping.Lock()
+	defer k.stopping.Unlock()
 	var first error
 	for i := int(k.started.Load()) - 1; i >= 0; i-- {
 		s := k.services[i]
