gateway, callwatch: requests in progress get an answer when the grace period ends

What callers saw: a request that a draining daemon had accepted ended with a closed connection (LOST), whether its server was at work, it waited in the queue of its server, or it waited for a slot or an owner in the daemon and had gone nowhere. Cause: when the time for the requests in progress was over, the process exited and the kernel closed their connections. Why this works: at the end of the grace period all calls are cancelled, and the daemon waits 0.2 s more for their answers to be written: 503 with the promise that it has not run for a request that no server got, 502 and outcome unknown for the others. Each request's line in the log has reason shutting_down.

--- a/internal/callwatch/callwatch.go
+++ b/internal/callwatch/callwatch.go
@@ -28,6 +28,7 @@
 type Watcher struct {
 	mu    sync.Mutex
 	calls map[*Call]struct{}
+	ended error // cause with which CancelAll cancels calls; nil before
 	done  chan struct{}
 }
 
@@ -55,6 +56,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls[c] = struct{}{}
+	if w.ended != nil {
+		c.Cancel(w.ended)
+	}
+}
+
+// CancelAll cancels all calls with the cause, and each call that is added later.
+func (w *Watcher) CancelAll(cause error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = cause
+	for c := range w.calls {
+		c.Cancel(cause)
+	}
 }
 
 // IgnoreCaller continues to watch only the call's deadline.
--- a/internal/daemon/fenced_shutdown_test.go
+++ b/internal/daemon/fenced_shutdown_test.go
@@ -8,6 +8,9 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
 
@@ -39,7 +42,7 @@
 	must.NoError(t, <-stopped)
 }
 
-const shortGrace = 300 * time.Millisecond
+const shortGrace = 300 * time.Millisecond // less than the requests below need
 
 // A daemon whose call of the store is in progress must exit when the grace period is over,
 // before it is killed.
@@ -51,3 +54,47 @@
 	must.Error(t, c.daemons[0].Stop(ctx))
 	must.Less(t, 3*shortGrace, time.Since(started))
 }
+
+// stopEarly stops the daemon while a request is in progress, and ends its process when the
+// grace period is over. It returns what the caller of the request received.
+func (c *cluster) stopEarly(path string, key int) response {
+	d := c.daemons[0]
+	received := make(chan response, 1)
+	go func() { received <- c.send(d, "GET", path, key, "") }()
+	time.Sleep(shortGrace / 3)
+	ctx, cancel := context.WithTimeout(context.Background(), shortGrace)
+	defer cancel()
+	_ = d.Stop(ctx)
+	d.Kill()
+	return <-received
+}
+
+// A request whose server is slow must not end with a closed connection when the grace
+// period does.
+func TestRequestAtSlowServerIsAnsweredWhenGraceEnds(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: 4 * shortGrace})
+	resp := c.stopEarly("/list/x", -1)
+	must.Eq(t, 502, resp.status, must.Sprint(resp))
+	must.StrContains(t, resp.body, "shutting_down")
+}
+
+// A request that waits for an owner of its key must not end with a closed connection when
+// the grace period does: its caller is told that it has not run.
+func TestRequestWithoutOwnerIsRefusedWhenGraceEnds(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	c.servers[0].Crash()
+	c.servers[0].Unregister()
+	c.await("no owner known", func() error {
+		return c.daemons[0].Invoke(func(cat *catalog.Catalog) error {
+			if cat.Load().Servers[model.ServerID(c.servers[0].ID())] != nil {
+				return errors.New("owner still known")
+			}
+			return nil
+		})
+	})
+	resp := c.stopEarly("/read/x", 7)
+	must.Eq(t, 503, resp.status, must.Sprint(resp))
+	must.StrContains(t, resp.body, "shutting_down")
+	must.Eq(t, 0, c.runs(resp.id))
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -110,8 +110,11 @@
 // contextRefusal returns the refusal for a call whose context ended with cause.
 func (c *call) contextRefusal(cause error) *reason.Error {
 	code := reason.DeadlinePassed
-	if errors.Is(cause, callwatch.ErrCallerGone) {
+	switch {
+	case errors.Is(cause, callwatch.ErrCallerGone):
 		code = reason.CallerGone
+	case errors.Is(cause, errGraceOver):
+		code = reason.ShuttingDown
 	}
 	return reason.New(code, "send", string(c.lastServer), "%v", cause)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	bodyMemoryDivisor  = 4                       // request bodies may take 1/bodyMemoryDivisor of the configured memory
 	balancerNoticeTime = 3500 * time.Millisecond // time until the load balancer has noticed that the daemon is not ready
 	drainAcceptTime    = 2500 * time.Millisecond // a draining daemon accepts requests for this time; later ones might be cut off
+	lastAnswersTime    = 200 * time.Millisecond  // time for the answers to requests that end with the grace period
 	pruneInterval      = 2 * time.Second         // interval between removals of stale state
 	maxOwnersWait      = 4 * time.Second         // time after the start for which readiness waits for the owners of keys
 )
@@ -227,7 +228,7 @@
 	case <-time.After(time.Until(noticed)):
 	case <-ctx.Done():
 	}
-	err := g.callerServer.ShutdownWithContext(ctx)
+	err := g.finishCalls(ctx)
 	if err == nil {
 		return nil
 	}
@@ -236,6 +237,24 @@
 	return errors.Wrapf(err, "finish requests in progress: %d were cut off", cut)
 }
 
+// errGraceOver is the cause with which requests in progress end at the end of the grace
+// period.
+var errGraceOver = errors.New("the daemon ends and can't wait longer")
+
+// finishCalls closes the listener and waits for the requests in progress. Those that are
+// still there when ctx ends are refused: each gets an answer before its connection closes.
+func (g *Gateway) finishCalls(ctx context.Context) error {
+	answered, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		g.log.Warn("grace period is over, refusing the requests in progress", zap.Int64("requests", g.activeCalls.Load()))
+		g.watch.CancelAll(errGraceOver)
+		time.AfterFunc(lastAnswersTime, cancel)
+	})
+	defer stop()
+	return g.callerServer.ShutdownWithContext(answered)
+}
+
 // Stop implements kernel.Service.
 func (g *Gateway) Stop(ctx context.Context) error {
 	err := g.callerServer.ShutdownWithContext(ctx)
