httplink: no dial for a request that is already cancelled

What callers saw: nothing yet; a request that is refused at the end of the grace period could wait 0.3 s for a connection that it does not use, longer than the 0.2 s that are left for its answer. Do looked at the context only after it had a connection. Evidence: TestNoDialForCancelledRequest failed before the change (dialed).

--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -34,6 +34,9 @@
 // request's body ends early, its end is not sent, so that the peer cannot take it for
 // complete.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, *Failure) {
+	if ctx.Err() != nil {
+		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
+	}
 	c, err := p.acquire()
 	if err != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
--- a/internal/httplink/exchange_test.go
+++ b/internal/httplink/exchange_test.go
@@ -227,3 +227,18 @@
 type endlessReader struct{}
 
 func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// A cancelled request must not wait for a connection that it won't use: its caller is
+// waiting for the refusal.
+func TestNoDialForCancelledRequest(t *testing.T) {
+	dial := func(string) (net.Conn, error) {
+		t.Error("dialed")
+		return nil, io.ErrClosedPipe
+	}
+	cause := errors.New("the daemon ends")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(cause)
+	_, failure := NewPool("127.0.0.1:1", 1, dial).Do(ctx, newGetRequest(), &fasthttp.Response{})
+	must.ErrorIs(t, failure, cause)
+	must.False(t, failure.Sent)
+}
