--- a/internal/daemon/fenced_shutdown_test.go
+++ b/internal/daemon/fenced_shutdown_test.go
@@ -2,6 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -9,6 +15,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/config"
+	"github.com/chicorylug/chicorylug/internal/daemon"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
@@ -98,3 +106,54 @@
 	must.StrContains(t, resp.body, "shutting_down")
 	must.Eq(t, 0, c.runs(resp.id))
 }
+
+// startProcess runs the daemon's main function, as its process does, and returns the
+// daemon's settings and a channel for the exit code.
+func (c *cluster) startProcess() (*config.Config, <-chan int) {
+	cfg := &config.Config{
+		Name: "process", Zone: "zone-0", CallerAddress: freeAddress(c.t), ControlAddress: freeAddress(c.t), PlatformAddress: c.store.Address(),
+		Fenced: &config.Fenced{ReadinessAddress: freeAddress(c.t), MemoryMB: 200, Cores: 1, GraceSeconds: 2, RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10},
+	}
+	text, err := json.Marshal(cfg)
+	must.NoError(c.t, err)
+	file := filepath.Join(c.t.TempDir(), "daemon.jsonc")
+	must.NoError(c.t, os.WriteFile(file, text, 0o600))
+	exited := make(chan int, 1)
+	go func() { exited <- daemon.Main([]string{"--config", file}, io.Discard, os.Stderr) }()
+	c.await("ready", func() error {
+		status, _, err := get("http://" + cfg.Fenced.ReadinessAddress + "/-/readyz")
+		if err == nil && status != 200 {
+			err = errors.Errorf("status %d", status)
+		}
+		return err
+	})
+	return cfg, exited
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", anyAddress)
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// Neither SIGHUP nor the SIGTERM that follows ends a request whose server is at work, and the
+// process exits before it would be killed.
+func TestSignalsEndNoRequestInProgress(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	cfg, exited := c.startProcess()
+	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: longRun})
+	received := make(chan response, 1)
+	go func() { received <- c.sendTo(cfg.CallerAddress, "GET", "/list/x", -1, "") }()
+	time.Sleep(begun)
+	self := os.Getpid()
+	must.NoError(t, syscall.Kill(self, syscall.SIGHUP))
+	time.Sleep(begun)
+	must.NoError(t, syscall.Kill(self, syscall.SIGTERM))
+	signalled := time.Now()
+	resp := <-received
+	must.Eq(t, 200, resp.status, must.Sprint(resp))
+	must.Eq(t, 1, c.runs(resp.id))
+	<-exited
+	must.Less(t, time.Duration(cfg.Fenced.GraceSeconds*float64(time.Second)), time.Since(signalled))
+}
--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -222,6 +222,11 @@
 // send sends one request to a daemon. With a negative key, the request has no key
 // header.
 func (c *cluster) send(d *daemon.Daemon, method, path string, key int, body string) response {
+	return c.sendTo(d.Config().CallerAddress, method, path, key, body)
+}
+
+// sendTo is send to the address for callers of a daemon.
+func (c *cluster) sendTo(address, method, path string, key int, body string) response {
 	c.mu.Lock()
 	c.ids++
 	id := fmt.Sprintf("request-%d", c.ids)
@@ -229,7 +234,7 @@
 	var req fasthttp.Request
 	var resp fasthttp.Response
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + d.Config().CallerAddress + path)
+	req.SetRequestURI("http://" + address + path)
 	req.UseHostHeader = true
 	req.Header.SetHost(host)
 	req.Header.Set("Chicorylug-Attempt-Id", id)
