--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	bodyMemoryDivisor  = 4                       // request bodies may take 1/bodyMemoryDivisor of the configured memory
 	balancerNoticeTime = 3500 * time.Millisecond // time until the load balancer has noticed that the daemon is not ready
 	drainAcceptTime    = 2500 * time.Millisecond // a draining daemon accepts requests for this time; later ones might be cut off
+	lastAnswersTime    = 200 * time.Millisecond  // time for the answers to requests that end with the grace period
 	pruneInterval      = 2 * time.Second         // interval between removals of stale state
 	maxOwnersWait      = 4 * time.Second         // time after the start for which readiness waits for the owners of keys
 )
@@ -211,17 +212,23 @@
 	return nil
 }
 
+// BeginShutdown implements kernel.ShutdownObserver. The time for which requests are
+// accepted is counted from here, whatever the other services wait for when they drain.
+func (g *Gateway) BeginShutdown() {
+	g.drainingSince.Store(time.Now().UnixNano())
+	g.draining.Store(true)
+}
+
 // Drain implements kernel.Drainer. Connections are accepted until the load balancer
 // has had time to notice that the daemon is not ready; then the requests in
 // progress are finished.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.drainingSince.Store(time.Now().UnixNano())
-	g.draining.Store(true)
+	noticed := time.Unix(0, g.drainingSince.Load()).Add(balancerNoticeTime)
 	select {
-	case <-time.After(balancerNoticeTime):
+	case <-time.After(time.Until(noticed)):
 	case <-ctx.Done():
 	}
-	err := g.callerServer.ShutdownWithContext(ctx)
+	err := g.finishCalls(ctx)
 	if err == nil {
 		return nil
 	}
@@ -230,6 +237,24 @@
 	return errors.Wrapf(err, "finish requests in progress: %d were cut off", cut)
 }
 
+// errGraceOver is the cause with which requests in progress end at the end of the grace
+// period.
+var errGraceOver = errors.New("the daemon ends and can't wait longer")
+
+// finishCalls closes the listener and waits for the requests in progress. Those that are
+// still there when ctx ends are refused: each gets an answer before its connection closes.
+func (g *Gateway) finishCalls(ctx context.Context) error {
+	answered, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		g.log.Warn("grace period is over, refusing the requests in progress", zap.Int64("requests", g.activeCalls.Load()))
+		g.watch.CancelAll(errGraceOver)
+		time.AfterFunc(lastAnswersTime, cancel)
+	})
+	defer stop()
+	return g.callerServer.ShutdownWithContext(answered)
+}
+
 // Stop implements kernel.Service.
 func (g *Gateway) Stop(ctx context.Context) error {
 	err := g.callerServer.ShutdownWithContext(ctx)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,14 @@
 	Drain(ctx context.Context) error
 }
 
+// ShutdownObserver is a service that has to know of the shutdown at once, before the
+// services drain one after another.
+type ShutdownObserver interface {
+	Service
+	// BeginShutdown is called once, before any Drain. It does not block.
+	BeginShutdown()
+}
+
 // Kernel holds the container and the services in the order of their start.
 type Kernel struct {
 	container *dig.Container
@@ -53,6 +62,7 @@
 	// the start and the stop.
 	started      atomic.Int32
 	shuttingDown atomic.Bool
+	stopping     sync.Mutex // held by Stop
 }
 
 // New returns an empty kernel.
@@ -194,8 +204,17 @@
 const daemonName Name = "daemon"
 
 // BeginShutdown makes the daemon report that it is not ready, so that it gets no
-// new work.
-func (k *Kernel) BeginShutdown() { k.shuttingDown.Store(true) }
+// new work, and tells the started services that are ShutdownObservers.
+func (k *Kernel) BeginShutdown() {
+	if k.shuttingDown.Swap(true) {
+		return
+	}
+	for _, s := range k.services[:k.started.Load()] {
+		if observer, ok := s.(ShutdownObserver); ok {
+			observer.BeginShutdown()
+		}
+	}
+}
 
 // Drain drains the services that are Drainers, in the reverse order of the start,
 // while all services run. It returns the first error.
@@ -214,8 +233,10 @@
 }
 
 // Stop stops the started services in the reverse order of the start and returns the
-// first error.
+// first error. A second call waits for the first one.
 func (k *Kernel) Stop(ctx context.Context) error {
+	k.stopping.Lock()
+	defer k.stopping.Unlock()
 	var first error
 	for i := int(k.started.Load()) - 1; i >= 0; i-- {
 		s := k.services[i]
