backends: compare different servers when one is chosen

Cause: choose compared three candidates drawn with replacement, so with two servers all draws could be the same one, one time in four. Of 24 requests at once for two servers of 8 slots, 16 and more could go to one; a server that never answers when full then left more than 8 requests for the 8 slots of the other, and the surplus ended at its deadline (TestServerThatHangsWhenFull- ServesAgain).

Change: the candidates are drawn without replacement, still in proportion to throughput. New tests of the pure part fail before: no server twice in a sample, 24 requests at once spread 12 and 12, no full server beside a free one (592 of 2000 before). TestFailingServersAreChosenLessOften held the old draw (a failing server chosen 400 to 600 times in 2000, when both draws were it); it now holds both sides exactly: 0 of 2000 while the good server is free, 2000 of 2000 when the good one's delay outweighs the penalty.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -30,10 +30,10 @@
 	maxConsidered      = 32      // servers whose state is read for one request, at most
 )
 
-// choose returns the server with the lowest cost among sampleSize random candidates,
-// sampled in proportion to throughput. The cost is the expected delay, increased by
-// failures and for other zones. Ejected servers are used only if all are ejected, failing
-// ones if more than maxFailingShare of the others fail.
+// choose returns the server with the lowest cost among sampleSize different random
+// candidates, sampled in proportion to throughput. The cost is the expected delay,
+// increased by failures and for other zones. Ejected servers are used only if all are
+// ejected, failing ones if more than maxFailingShare of the others fail.
 // Large transfers stay in the zone while a server there is in time.
 func choose(candidates []candidate, zone model.Zone, criteria *Criteria) *catalog.Server {
 	usable := withoutFailing(withoutEjected(candidates))
@@ -125,29 +125,39 @@
 	return local
 }
 
-// sample returns the indices of sampleSize random candidates, with replacement. The
-// probability of a candidate is proportional to its throughput.
+// sample returns the indices of sampleSize different random candidates, or of all if there
+// are no more. The probability of a candidate is proportional to its throughput.
 func sample(candidates []candidate) []int {
-	total := 0.0
-	for _, c := range candidates {
-		total += c.throughput()
+	left := make([]int, len(candidates))
+	for i := range candidates {
+		left[i] = i
 	}
 	sampled := make([]int, 0, sampleSize)
 	for range min(sampleSize, len(candidates)) {
-		point := rand.Float64() * total
-		last := len(candidates) - 1
-		for i, c := range candidates {
-			point -= c.throughput()
-			if point <= 0 {
-				last = i
-				break
-			}
-		}
-		sampled = append(sampled, last)
+		drawn := draw(candidates, left)
+		sampled = append(sampled, left[drawn])
+		left = slices.Delete(left, drawn, drawn+1)
 	}
 	return sampled
 }
 
+// draw returns the position in left of a random candidate, with a probability
+// proportional to its throughput. left holds at least one index.
+func draw(candidates []candidate, left []int) int {
+	total := 0.0
+	for _, i := range left {
+		total += candidates[i].throughput()
+	}
+	point := rand.Float64() * total
+	for position, i := range left {
+		point -= candidates[i].throughput()
+		if point <= 0 {
+			return position
+		}
+	}
+	return len(left) - 1
+}
+
 // throughput returns the number of requests per second that the server can run.
 func (c candidate) throughput() float64 {
 	return float64(c.server.Slots) / max(c.serviceTime, time.Millisecond).Seconds()
--- a/internal/backends/choose_test.go
+++ b/internal/backends/choose_test.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -48,8 +49,55 @@
 func TestFailingServersAreChosenLessOften(t *testing.T) {
 	candidates := []candidate{newCandidate("failing", "near", 100*time.Millisecond, 0), newCandidate("good", "near", 100*time.Millisecond, 0)}
 	candidates[0].failureRate = failingRate - 0.1
-	// With two candidates, two samples are compared: the failing server is chosen only if both are it, one time in four.
-	must.Between(t, 400, countChoices(candidates, &Criteria{})["failing"], 600)
+	must.Zero(t, countChoices(candidates, &Criteria{})["failing"])
+	candidates[1].expectedLoad = 8 // a delay of three service times, against a penalty of 2.2
+	must.Eq(t, 2000, countChoices(candidates, &Criteria{})["failing"])
+}
+
+// A full server gets no request while one of the two others has room.
+func TestFullServersAreNotChosenBesideAFreeOne(t *testing.T) {
+	candidates := []candidate{
+		newCandidate("full", "near", 100*time.Millisecond, 6),
+		newCandidate("fuller", "near", 100*time.Millisecond, 9),
+		newCandidate("free", "near", 100*time.Millisecond, 0),
+	}
+	must.Eq(t, 2000, countChoices(candidates, &Criteria{})["free"])
+}
+
+// Requests that run at once are spread evenly: a server of a pair is not given more than
+// both have slots for while the other has room.
+func TestConcurrentRequestsAreSpreadEvenly(t *testing.T) {
+	const slots = 8
+	for range 200 {
+		candidates := []candidate{newCandidate("a", "near", 20*time.Millisecond, 0), newCandidate("b", "near", 20*time.Millisecond, 0)}
+		for i := range candidates {
+			candidates[i].server.Slots = slots
+		}
+		for range 3 * slots {
+			chosen := choose(candidates, "near", &Criteria{})
+			for i := range candidates {
+				if candidates[i].server == chosen {
+					candidates[i].expectedLoad++
+				}
+			}
+		}
+		must.Eq(t, 1.5*slots, candidates[0].expectedLoad)
+	}
+}
+
+// The servers compared for a request are different ones, as many as sampleSize allows.
+func TestSampleHoldsEachServerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []candidate
+		for i := range rapid.IntRange(1, maxConsidered).Draw(t, "servers") {
+			serviceTime := time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			candidates = append(candidates, newCandidate(strconv.Itoa(i), "near", serviceTime, 0))
+		}
+		sampled := sample(candidates)
+		must.Len(t, min(sampleSize, len(candidates)), sampled)
+		slices.Sort(sampled)
+		must.Eq(t, sampled, slices.Compact(slices.Clone(sampled)))
+	})
 }
 
 // A server that fails in a row gets nothing, unless more than half of the servers do.
