dispatcher: a probe asks twice before it finds a server unresponsive

Cause of the 502 in request_at_most_once, by the code: a server is judged lost and its requests are given up as unknown after one probe that got no answer in 250 ms (or a refused connection, which that message excludes). One lost packet is enough: its retransmission takes 200 ms and more. Work that may run once is then lost although the server still does it.

Change: a probe without an answer in 100 ms sends a second request on another connection, and reports the server only when both fail. A server without an answer is so noticed after 350 ms instead of 250 ms. One more connection of the server's limit is kept for probes. TestServerIsNotLostByOneLateProbe failed before (timeout reported for a server that answers all requests but one).

--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -15,10 +15,11 @@
 
 // Health probes.
 const (
-	probePeriod  = 100 * time.Millisecond // time without a response after which a server is probed
-	probeTimeout = 250 * time.Millisecond // time limit of one probe
-	watchPeriod  = 50 * time.Millisecond  // interval at which the state of the servers is updated
-	reportPeriod = 50 * time.Millisecond  // minimum time between two equal reports of a responding server
+	probePeriod      = 100 * time.Millisecond // time without a response after which a server is probed
+	probeTimeout     = 250 * time.Millisecond // time limit of one probe request
+	secondProbeAfter = 100 * time.Millisecond // time without a response after which a second probe request is sent
+	watchPeriod      = 50 * time.Millisecond  // interval at which the state of the servers is updated
+	reportPeriod     = 50 * time.Millisecond  // minimum time between two equal reports of a responding server
 )
 
 // watch updates the state of the servers every watchPeriod and on each change of the
@@ -90,10 +91,30 @@
 	}()
 }
 
-// probe requests the health path of the server. Any HTTP response, whatever its
-// status, proves that the process runs: what a health endpoint says of the server
-// may be outdated or wrong.
+// probe requests the health path of the server, and once more on another connection when
+// the response takes longer than secondProbeAfter: one packet may be lost. The server's
+// failure is reported only when both requests failed.
 func (d *Dispatcher) probe(s *server) {
+	first := make(chan *httplink.Failure, 1)
+	go func() { first <- d.probeOnce(s) }()
+	select {
+	case failure := <-first:
+		if failure != nil {
+			d.reportFailure(s, failure)
+		}
+		return
+	case <-time.After(secondProbeAfter):
+	}
+	second := d.probeOnce(s)
+	if failure := <-first; failure != nil && second != nil {
+		d.reportFailure(s, second)
+	}
+}
+
+// probeOnce requests the health path of the server and reports its response. Any HTTP
+// response, whatever its status, proves that the process runs: what a health endpoint
+// says of the server may be outdated or wrong.
+func (d *Dispatcher) probeOnce(s *server) *httplink.Failure {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -105,11 +126,11 @@
 	request.Header.SetHost(s.address)
 	exchange, failure := s.probeConns.Do(ctx, request, response)
 	if failure != nil {
-		d.reportFailure(s, failure)
-		return
+		return failure
 	}
 	d.reportResponse(s, &response.Header, "health endpoint answered "+strconv.Itoa(response.StatusCode()))
 	_ = exchange.Discard()
+	return nil
 }
 
 // reportResponse records that a server responded to a request or a probe, and
--- a/internal/dispatcher/probe_test.go
+++ b/internal/dispatcher/probe_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/config"
@@ -115,6 +118,38 @@
 	}
 }
 
+// TestServerIsNotLostByOneLateProbe guards against judging a working server lost because
+// one packet was lost or one machine was busy.
+func TestServerIsNotLostByOneLateProbe(t *testing.T) {
+	f := startFixture(t, backend.Options{Slots: 3}, settings.Pool{Slots: 3, Connections: 10})
+	ref := model.ServerRef{Pool: testPool, Server: "drafts-2"}
+	f.gate.Apply([]*ownership.Permit{{Server: ref, Address: startLateOnce(t), Slots: 3, Until: time.Now().Add(time.Hour)}})
+	for {
+		e := <-f.evidence
+		if e.Server != ref {
+			continue
+		}
+		must.Eq(t, ownership.EvidenceHealthy, e.Kind, must.Sprint(e.Detail))
+		return
+	}
+}
+
+// startLateOnce starts an HTTP server that answers all requests at once but the first,
+// which it answers after the time limit of a probe. It returns its address.
+func startLateOnce(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	var requests atomic.Int64
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {
+		if requests.Add(1) == 1 {
+			time.Sleep(2 * probeTimeout)
+		}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
 func TestServersWithoutPermitAreDropped(t *testing.T) {
 	f := startFixture(t, backend.Options{Slots: 3}, settings.Pool{Slots: 3, Connections: 10})
 	f.awaitEvidence(t, ownership.EvidenceHealthy)
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -15,9 +15,11 @@
 	"github.com/chicorylug/chicorylug/internal/settings"
 )
 
-// probeConnections is the part of a server's connection limit that is reserved:
-// one connection for probes and one to check whether the process has ended.
-const probeConnections = 2
+// Connections that are reserved in a server's connection limit.
+const (
+	probeConnections    = 2                    // one for each request of a probe
+	reservedConnections = probeConnections + 1 // another one checks whether the process has ended
+)
 
 // maxHandoverWait is the maximum time for which a new dispatcher of a server sends
 // nothing because the previous one may still have requests in progress there.
@@ -32,7 +34,7 @@
 	queue      *Queue
 	limit      *slotLimit
 	conns      *httplink.Pool // connections that carry requests
-	probeConns *httplink.Pool // one connection for probes
+	probeConns *httplink.Pool // connections for probes
 	health     health
 	load       *loadMeter
 	crash      crashDetector
@@ -95,7 +97,7 @@
 		queue:      NewQueue(permit.Server.String(), queueSettings(permit.Slots, pool, compiled)),
 		limit:      newSlotLimit(permit.Slots, now),
 		conns:      httplink.NewPool(permit.Address, requestConnections(pool), dial),
-		probeConns: httplink.NewPool(permit.Address, 1, dial),
+		probeConns: httplink.NewPool(permit.Address, probeConnections, dial),
 		load:       newLoadMeter(now),
 		running:    map[*request]struct{}{},
 	}
@@ -105,7 +107,7 @@
 
 // requestConnections returns the maximum number of connections that carry requests
 // to a server of the pool, at least one.
-func requestConnections(pool *settings.Pool) int { return max(pool.Connections-probeConnections, 1) }
+func requestConnections(pool *settings.Pool) int { return max(pool.Connections-reservedConnections, 1) }
 
 func queueSettings(slots int, pool *settings.Pool, compiled *settings.Compiled) rankqueue.Settings {
 	floors := make([]int, 0, len(compiled.Tree.Fleet.Ranks))
