--- a/internal/standin/platformd/restore.go
+++ b/internal/standin/platformd/restore.go
@@ -44,8 +44,8 @@
 }
 
 // Restore returns the store to a copy of the given age, at most 30 s: rows, objects,
-// history and version are those of that moment, and the era rises by one. Versions of
-// later transactions are given out again. Waiting calls end with status 503. Instances
+// history and version are those of that moment, but what an earlier restore took back
+// stays lost. The era rises by one. Versions of later transactions are given out again. Waiting calls end with status 503. Instances
 // that were registered or removed since are so again a second later; rows written with
 // PutRow and DeleteRow have to be written again by the caller.
 func (s *Server) Restore(age time.Duration) {
