backends: honour servers that say they leave or ask for a pause

Cause: servers now say in each answer that they leave, and add Retry-After to a 503. Daemons knew neither: a leaving server got requests until the store told, a paused one within 100 ms.

Choice of a server, owners of keys and the moment before each send ask the gate. What can't be served is refused at once as not run, with the end of the pause as Retry-After, spread by rank and at random. A daemon tells the keeper which owners said that they leave (new message keeper.leaving; recorded in the encoded forms, no form of before is changed), and the keeper moves their keys like those of a server registered as leaving. The stand-in server plays both.

Health probes of the keeper to a server that pauses aren't held back yet.

--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -13,8 +13,10 @@
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/httplink"
+	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/sendgate"
 )
 
 const (
@@ -37,6 +39,8 @@
 	stats       *Stats
 	limits      *attemptlimit.Limits
 	memory      *bytebudget.Budget // for bodies of responses
+	gate        *sendgate.Gate
+	gateMeters  gateMeters
 	log         *zap.Logger
 
 	mu        sync.Mutex
@@ -55,7 +59,7 @@
 type FleetSize func() int
 
 // New returns backends without servers.
-func New(c *config.Config, network *netx.Network, d dialect.Dialect, cat *catalog.Catalog, fleetSize FleetSize, log *zap.Logger) *Backends {
+func New(c *config.Config, network *netx.Network, d dialect.Dialect, cat *catalog.Catalog, fleetSize FleetSize, registry *metrics.Registry, log *zap.Logger) *Backends {
 	return &Backends{
 		zone:        c.Zone,
 		network:     network,
@@ -66,6 +70,8 @@
 		stats:       newStats(),
 		limits:      attemptlimit.New(),
 		memory:      bytebudget.New(c.Fenced.MemoryBytes() / responseMemoryDivisor),
+		gate:        sendgate.New(),
+		gateMeters:  newGateMeters(registry),
 		log:         log.Named("backends"),
 		endpoints:   map[model.ServerID]*endpoint{},
 	}
@@ -108,9 +114,11 @@
 	return min(max(int(share), minConnections), maxConnections)
 }
 
-// Prune removes the endpoints of servers that are no longer in the catalog.
+// Prune removes the endpoints of servers that are no longer in the catalog, and what
+// processes that are gone said.
 func (b *Backends) Prune() {
 	known := b.catalog.Load().Servers
+	b.gate.Prune(known, time.Now())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, e := range b.endpoints {
@@ -131,18 +139,31 @@
 }
 
 // Choose returns a server for a request that any server of the service may run, or
-// nil if all servers that are not leaving have been tried.
+// nil if all servers that take requests have been tried.
 func (b *Backends) Choose(snapshot *catalog.Snapshot, c *Criteria) *catalog.Server {
 	now := time.Now()
 	defaultServiceTime := b.stats.averageServiceTime(c.Service)
-	considered := consider(snapshot.ByService[c.Service], snapshot.ByZone[catalog.ServiceZone{Service: c.Service, Zone: b.zone}])
+	all := snapshot.ByService[c.Service]
+	considered := consider(all, snapshot.ByZone[catalog.ServiceZone{Service: c.Service, Zone: b.zone}])
+	eligible := b.eligible(considered, c.Tried, now)
+	if len(eligible) == 0 && len(considered) < len(all) {
+		eligible = b.eligible(all, c.Tried, now)
+	}
 	var candidates []candidate
-	for _, server := range considered {
-		if server.Leaving || slices.Contains(c.Tried, server.ID) {
-			continue
-		}
+	for _, server := range eligible {
 		candidates = append(candidates, b.endpoint(server).state.candidate(server, defaultServiceTime, now))
 	}
 	c.Bytes += b.stats.averageResponseBytes(c.Service)
 	return choose(candidates, b.zone, c)
 }
+
+// eligible returns the servers that may be chosen now and have not been tried.
+func (b *Backends) eligible(servers []*catalog.Server, tried []model.ServerID, now time.Time) []*catalog.Server {
+	eligible := make([]*catalog.Server, 0, len(servers))
+	for _, server := range servers {
+		if b.MayChoose(server, now) && !slices.Contains(tried, server.ID) {
+			eligible = append(eligible, server)
+		}
+	}
+	return eligible
+}
--- /dev/null
+++ b/internal/backends/gate.go
@@ -0,0 +1,129 @@
+package backends
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/metrics"
+	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/sendgate"
+)
+
+// HeldError says that a request was not sent because its server said that it leaves or
+// wants no requests for a time.
+type HeldError struct {
+	Server  model.ServerID
+	Verdict sendgate.Verdict
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	if e.Verdict.Reason == sendgate.Leaving {
+		return fmt.Sprintf("server %s said that it is leaving", e.Server)
+	}
+	return fmt.Sprintf("server %s had asked for a pause, until %s", e.Server, e.Verdict.Until.UTC().Format(time.RFC3339Nano))
+}
+
+// gateMeters counts what the gate does.
+type gateMeters struct {
+	pauses     *metrics.Counter // responses that asked for a pause
+	unreadable *metrics.Counter // of these, those whose time can't be read
+	held       map[sendgate.Reason]*metrics.Counter
+}
+
+func newGateMeters(r *metrics.Registry) gateMeters {
+	return gateMeters{
+		pauses:     r.Counter(`server_pauses_total`),
+		unreadable: r.Counter(`server_pauses_unreadable_total`),
+		held: map[sendgate.Reason]*metrics.Counter{
+			sendgate.Paused:  r.Counter(`sends_held_total{reason="pause"}`),
+			sendgate.Leaving: r.Counter(`sends_held_total{reason="leaving"}`),
+		},
+	}
+}
+
+// Held returns an error if a request that was chosen for the server, or that only the
+// server may run, must not be sent to it now. It logs and counts the decision.
+func (b *Backends) Held(server *catalog.Server, request model.RequestID, now time.Time) *HeldError {
+	verdict := b.gate.MaySend(sendgate.ProcessOf(server), now)
+	if verdict.Reason == sendgate.Open {
+		return nil
+	}
+	b.gateMeters.held[verdict.Reason].Inc()
+	b.log.Info("send held back", zap.String("request", string(request)), zap.String("server", string(server.ID)),
+		zap.String("service", string(server.Service)), zap.String("reason", string(verdict.Reason)), zap.Time("until", verdict.Until))
+	return &HeldError{Server: server.ID, Verdict: verdict}
+}
+
+// HeldService returns an error if all servers of a service are held, with the verdict of
+// the first one that takes requests again. It logs and counts the decision.
+func (b *Backends) HeldService(snapshot *catalog.Snapshot, service model.PoolName, request model.RequestID, now time.Time) *HeldError {
+	var first *HeldError
+	for _, server := range snapshot.ByService[service] {
+		if server.Leaving {
+			continue
+		}
+		verdict := b.gate.MayChoose(sendgate.ProcessOf(server), now)
+		if verdict.Reason == sendgate.Open {
+			return nil
+		}
+		if first == nil || verdict.Before(first.Verdict) {
+			first = &HeldError{Server: server.ID, Verdict: verdict}
+		}
+	}
+	if first != nil {
+		b.gateMeters.held[first.Verdict.Reason].Inc()
+		b.log.Info("send held back, so do all servers of the service", zap.String("request", string(request)),
+			zap.String("server", string(first.Server)), zap.String("service", string(service)),
+			zap.String("reason", string(first.Verdict.Reason)), zap.Time("until", first.Verdict.Until))
+	}
+	return first
+}
+
+// MayChoose reports whether the server may be chosen for a request that other servers may
+// run too.
+func (b *Backends) MayChoose(server *catalog.Server, now time.Time) bool {
+	return !server.Leaving && b.gate.MayChoose(sendgate.ProcessOf(server), now).Reason == sendgate.Open
+}
+
+// IsLeaving reports whether the server said that it is leaving, and gets no requests any
+// more.
+func (b *Backends) IsLeaving(server *catalog.Server, now time.Time) bool {
+	return b.gate.MaySend(sendgate.ProcessOf(server), now).Reason == sendgate.Leaving
+}
+
+// LeavingProcesses returns the server processes that said that they are leaving.
+func (b *Backends) LeavingProcesses() []sendgate.Process { return b.gate.LeavingProcesses() }
+
+// RecordLeaving records that the server said that it is leaving.
+func (b *Backends) RecordLeaving(server *catalog.Server) {
+	if b.gate.RecordLeaving(sendgate.ProcessOf(server), time.Now()) {
+		b.log.Info("server says that it is leaving", zap.String("server", string(server.ID)), zap.String("service", string(server.Service)))
+	}
+}
+
+// recordSigns records what the headers of a response say about further requests to the
+// server. It returns the pause as an error, or nil if the server did not ask for one.
+func (b *Backends) recordSigns(a *Attempt, headers *dialect.ServerResponse) *HeldError {
+	if headers.ServerID != "" && headers.ServerID != a.Server.ID {
+		return nil // another server has the address now
+	}
+	if headers.Leaving {
+		b.RecordLeaving(a.Server)
+	}
+	if !headers.HasPause {
+		return nil
+	}
+	b.gateMeters.pauses.Inc()
+	if headers.PauseErr != nil {
+		b.gateMeters.unreadable.Inc()
+	}
+	until := b.gate.RecordPause(sendgate.ProcessOf(a.Server), headers.Pause, time.Now())
+	b.log.Info("server asked for a pause", zap.String("request", string(a.ID)), zap.String("server", string(a.Server.ID)),
+		zap.String("service", string(a.Server.Service)), zap.Duration("pause", headers.Pause), zap.Time("until", until), zap.Error(headers.PauseErr))
+	return &HeldError{Server: a.Server.ID, Verdict: sendgate.Verdict{Reason: sendgate.Paused, Until: until}}
+}
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -60,6 +60,8 @@
 	// Misdirected says that the server rejected the request because it does not own
 	// the key or is not the expected server.
 	Misdirected bool
+	// Paused says that the server rejected the request and asked for a pause.
+	Paused bool
 	// Sent says that a byte of the request may have reached the server.
 	Sent bool
 	// Err is the reason why Response is nil; it is nil if Execution is Ran.
@@ -82,8 +84,12 @@
 var ErrNoAnswer = errors.New("no complete response within the time limit of an attempt")
 
 // Send sends a request to a server once, reads the complete response and updates the
-// server's state from the result.
+// server's state from the result. The request is not sent, and the error is a HeldError,
+// if the server has said meanwhile that it leaves or wants no requests for a time.
 func (b *Backends) Send(ctx context.Context, a *Attempt) Result {
+	if held := b.Held(a.Server, a.ID, time.Now()); held != nil {
+		return Result{Execution: NotRun, Err: held}
+	}
 	e := b.endpoint(a.Server)
 	started := time.Now()
 	b.dialect.WriteServerRequest(&a.Request.Header, time.Until(a.Deadline)-responseTransitTime, a.Server.ID)
@@ -144,6 +150,7 @@
 		exchange.Abort()
 		return Result{Execution: MayHaveRun, Sent: true, Err: errWrongRequestID}
 	}
+	pause := b.recordSigns(a, &headers)
 	body, err := b.readBody(exchange)
 	if err != nil {
 		exchange.Abort()
@@ -156,16 +163,18 @@
 		e.pool.SetPeerIdleTimeout(headers.IdleTimeout)
 	}
 	response.SetBodyRaw(body)
-	return b.classify(response, headers)
+	return b.classify(response, headers, pause)
 }
 
 // classify returns the result for a complete response. A response that lacks the
 // server's signature header or has a content encoding is not passed on, and the request
-// counts as one that may have run.
-func (b *Backends) classify(response *fasthttp.Response, headers dialect.ServerResponse) Result {
+// counts as one that may have run. pause is nil unless the server asked for a pause.
+func (b *Backends) classify(response *fasthttp.Response, headers dialect.ServerResponse, pause *HeldError) Result {
 	switch {
 	case headers.Misdirected:
 		return Result{Execution: NotRun, Sent: true, Misdirected: true, Err: errNotRun}
+	case headers.NotRun && pause != nil:
+		return Result{Execution: NotRun, Sent: true, Paused: true, Err: pause}
 	case headers.NotRun:
 		return Result{Execution: NotRun, Sent: true, Err: errNotRun}
 	case !headers.Signed:
@@ -249,6 +258,8 @@
 		b.stats.recordResponse(a.Server.Service, a.Server.ID, a.Keyed, took, load.Running+load.Waiting)
 	case r.Misdirected:
 		// The key's owner has changed: this is not a failure of the server.
+	case r.Paused:
+		// The server is not full or failing: the gate keeps its pause.
 	case r.Execution == NotRun && r.Sent:
 		e.state.eject(now, shedEjection)
 		if a.Keyed {
--- /dev/null
+++ b/internal/daemon/fenced_pause_test.go
@@ -0,0 +1,157 @@
+package daemon_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chicorylug/chicorylug/internal/daemon"
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
+	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+)
+
+const (
+	drainBound    = 2 * time.Second        // after which a leaving server must get no request
+	pauseSlack    = 500 * time.Millisecond // in which requests on their way may still arrive after a pause was asked for
+	refusedAtOnce = 200 * time.Millisecond // bound of the time that a refusal takes
+	maxLateReturn = 2 * time.Second        // after the end of a pause, until the daemon sends again
+)
+
+// sendMany sends requests without a key and counts those that were served.
+func (c *cluster) sendMany(d *daemon.Daemon, count int) (served int) {
+	for range count {
+		if c.send(d, "GET", "/list/x", -1, "").status == 200 {
+			served++
+		}
+	}
+	return served
+}
+
+// A server that says in its answers that it leaves gets no requests any more, although
+// the store, which is down, still has it as ready.
+func TestServerThatSaysItLeavesGetsNoRequestsWhileStoreIsDown(t *testing.T) {
+	c := newListCluster(t, 2, manySlots)
+	leaving := c.plainServers()[0]
+	c.store.SetFaults(platformd.Faults{Down: true, ListDown: true})
+	leaving.SetFaults(fenced.Faults{SayLeaving: true})
+	must.Eq(t, 50, c.sendMany(c.daemons[0], 50))
+	time.Sleep(drainBound)
+	arrived := leaving.Arrivals()
+	must.Eq(t, 50, c.sendMany(c.daemons[0], 50))
+	must.Eq(t, arrived, leaving.Arrivals())
+}
+
+// The keys of a server that says in its answers that it leaves get a new owner, although
+// the store still has the server as ready.
+func TestKeysLeaveOwnerThatSaysItLeaves(t *testing.T) {
+	const key = 30_000
+	c := newCluster(t, 3, 3, 1)
+	owner := c.ownerOf(key)
+	owner.SetFaults(fenced.Faults{SayLeaving: true})
+	for _, d := range c.daemons {
+		must.Eq(t, 200, c.send(d, "GET", "/read/x", key, "").status)
+	}
+	time.Sleep(drainBound)
+	arrived := owner.Arrivals()
+	for _, d := range c.daemons {
+		must.Eq(t, 200, c.send(d, "GET", "/read/x", key, "").status)
+	}
+	must.Eq(t, arrived, owner.Arrivals())
+	for range 10 { // balancing gives it none back
+		must.Eq(t, 0, c.keysOf(owner))
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.checkOwnership()
+}
+
+// While the store is down no key can get a new owner: the requests for the keys of a
+// leaving server are refused as not run.
+func TestRequestsForKeysOfLeavingOwnerAreRefusedWhileStoreIsDown(t *testing.T) {
+	const key = 30_000
+	c := newCluster(t, 1, 2, 1)
+	owner := c.ownerOf(key)
+	c.store.SetFaults(platformd.Faults{Down: true, ListDown: true})
+	time.Sleep(4 * time.Second) // the keeper has noticed
+	owner.SetFaults(fenced.Faults{SayLeaving: true})
+	must.Eq(t, 200, c.send(c.daemons[0], "GET", "/read/x", key, "").status)
+	time.Sleep(drainBound)
+	arrived := owner.Arrivals()
+	for range 3 {
+		must.Eq(t, 503, c.send(c.daemons[0], "GET", "/read/x", key, "").status)
+	}
+	must.Eq(t, arrived, owner.Arrivals())
+}
+
+// While the only server that may run a request has asked for a pause, requests are
+// refused at once as not run, and are served again after it.
+func TestRequestsAreRefusedAtOnceWhileOnlyServerPauses(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	for _, target := range []struct {
+		method, path string
+		key          int
+	}{{"GET", "/list/x", -1}, {"POST", "/seal/x", -1}, {"POST", "/plan/x", -1}, {"GET", "/read/x", 7}} {
+		t.Run(target.path, func(t *testing.T) {
+			c := newListCluster(t, 1, manySlots)
+			for _, s := range c.servers {
+				s.SetFaults(fenced.Faults{Pause: "1.5"})
+			}
+			before := c.servers[0].Arrivals() + c.servers[1].Arrivals()
+			asked := time.Now()
+			for time.Since(asked) < pause-100*time.Millisecond {
+				started := time.Now()
+				resp := c.send(c.daemons[0], target.method, target.path, target.key, "")
+				must.Eq(t, 503, resp.status)
+				must.Less(t, refusedAtOnce, time.Since(started))
+				seconds, err := strconv.ParseFloat(resp.retryAfter, 64)
+				must.NoError(t, err)
+				must.Positive(t, seconds)
+				time.Sleep(20 * time.Millisecond)
+			}
+			must.Eq(t, before+1, c.servers[0].Arrivals()+c.servers[1].Arrivals())
+			for _, s := range c.servers {
+				s.SetFaults(fenced.Faults{})
+			}
+			time.Sleep(time.Until(asked.Add(pause + maxLateReturn)))
+			must.Eq(t, 200, c.send(c.daemons[0], target.method, target.path, target.key, "").status)
+		})
+	}
+}
+
+// A server that asks for a pause of an hour is left alone, and the others serve.
+func TestServerThatAsksForLongPauseIsLeftAlone(t *testing.T) {
+	c := newListCluster(t, 2, manySlots)
+	paused := c.plainServers()[0]
+	paused.SetFaults(fenced.Faults{Pause: "3600"})
+	must.Eq(t, 50, c.sendMany(c.daemons[0], 50))
+	time.Sleep(pauseSlack)
+	arrived := paused.Arrivals()
+	paused.SetFaults(fenced.Faults{})
+	must.Eq(t, 50, c.sendMany(c.daemons[0], 50))
+	must.Eq(t, arrived, paused.Arrivals())
+}
+
+// A pause and a leaving are those of one process: the next one at the address, under the
+// same id, gets requests.
+func TestNextProcessAtAddressOfPausedAndLeavingServerGetsRequests(t *testing.T) {
+	for name, f := range map[string]fenced.Faults{"pause": {Pause: "3600"}, "leaving": {SayLeaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			c := newListCluster(t, 1, manySlots)
+			old := c.plainServers()[0]
+			old.SetFaults(f)
+			c.send(c.daemons[0], "GET", "/list/x", -1, "")
+			must.Eq(t, 503, c.send(c.daemons[0], "GET", "/list/x", -1, "").status)
+			old.Crash()
+			next := c.startServer(old.ID(), "sealing", old.Address())
+			c.await("request served by the next process", func() error {
+				if resp := c.send(c.daemons[0], "GET", "/list/x", -1, ""); resp.status != 200 {
+					return fmt.Errorf("status %d: %s", resp.status, resp.body)
+				}
+				return nil
+			})
+			must.Positive(t, next.TotalRuns())
+		})
+	}
+}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -56,6 +56,14 @@
 	// IdleTimeout is the time after which the server closes an idle connection, or
 	// zero if not stated.
 	IdleTimeout time.Duration
+	// Leaving says that the server is about to shut down.
+	Leaving bool
+	// HasPause says that the server rejected the request and wants none for the time
+	// Pause. PauseErr says why the time, or one of several, could not be read; Pause is
+	// valid all the same.
+	HasPause bool
+	Pause    time.Duration
+	PauseErr error
 }
 
 // Grant permits a server to run the requests of a range of keys for a limited time.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -99,6 +99,9 @@
 		LatencyObjective: c.route.LatencyObjective,
 	})
 	if server == nil {
+		if held := c.gateway.backends.HeldService(snapshot, c.service, c.headers.ID, time.Now()); held != nil {
+			return nil, c.heldRefusal("choose", held)
+		}
 		return nil, reason.New(reason.ServerUnreachable, "choose", string(c.service), "no server is left that was not tried")
 	}
 	return server, nil
@@ -117,21 +120,21 @@
 }
 
 // awaitOwner returns the owner of the request's key. While the key has no owner, or
-// the known owner has just rejected the key, it waits for up to
-// 1/ownerWaitDivisor of the remaining time.
+// the known owner has just rejected the key or is leaving, it waits for up to
+// 1/ownerWaitDivisor of the remaining time. An owner that asked for a pause is not awaited.
 func (c *call) awaitOwner() (*catalog.Server, *reason.Error) {
 	waitDeadline := time.Now().Add(time.Until(c.deadline) / ownerWaitDivisor)
 	for {
 		changed := c.gateway.catalog.Changed()
 		now := time.Now()
 		if server := c.owner(now); server != nil {
-			return server, nil
+			return server, c.pausedRefusal(server, now)
 		}
 		if cause := context.Cause(c.context); cause != nil {
 			return nil, c.contextRefusal(cause)
 		}
 		if now.After(waitDeadline) {
-			return nil, reason.New(reason.NoOwner, "choose", string(c.service), "key %d has no owner", c.headers.Key)
+			return nil, c.noOwnerRefusal(now)
 		}
 		wait := waitDeadline.Sub(now)
 		if retryAt := c.misdirectedAt.Add(c.misdirectedDelay()); retryAt.After(now) {
@@ -198,6 +201,9 @@
 	if server == nil || server.StartedMS != keyRange.StartedMS || (server.Leaving && time.Since(server.LeavingSince) > leavingGracePeriod) {
 		return nil
 	}
+	if c.gateway.backends.IsLeaving(server, now) {
+		return nil
+	}
 	c.fence = keyRange.Fence
 	return server
 }
@@ -242,8 +248,9 @@
 
 // hasUntriedServer reports whether a server is left that the request was not sent to.
 func (c *call) hasUntriedServer() bool {
+	now := time.Now()
 	return slices.ContainsFunc(c.gateway.catalog.Load().ByService[c.service], func(server *catalog.Server) bool {
-		return !server.Leaving && !slices.Contains(c.tried, server.ID)
+		return c.gateway.backends.MayChoose(server, now) && !slices.Contains(c.tried, server.ID)
 	})
 }
 
@@ -258,7 +265,10 @@
 func (c *call) classifyFailure(server *catalog.Server, result backends.Result) *reason.Error {
 	outcome := reason.Unknown
 	code := reason.ServerLost
+	var held *backends.HeldError
 	switch {
+	case errors.As(result.Err, &held):
+		return c.heldRefusal("send", held)
 	case result.Execution == backends.NotRun && result.Misdirected:
 		c.misdirectedAt = time.Now()
 		c.misdirected++
--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/backends"
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/reason"
+	"github.com/chicorylug/chicorylug/internal/sendgate"
+)
+
+// heldRefusal returns the refusal for a request that was not sent because its server, or
+// each server of its service, asked for a pause or is leaving. The time after which the
+// caller is advised to try again is the end of the pause, or later for less urgent ranks.
+func (c *call) heldRefusal(step string, held *backends.HeldError) *reason.Error {
+	code := reason.ServerPaused
+	if held.Verdict.Reason == sendgate.Leaving {
+		code = reason.ServerDraining
+	}
+	refusal := reason.New(code, step, string(held.Server), "%v", held)
+	refusal.RetryAfter = c.boundPause(held.Verdict.RetryAfter(c.route.Rank, time.Now()))
+	return refusal
+}
+
+// pausedRefusal returns the refusal for a request that only the given server may run, or
+// nil unless the server asked for a pause.
+func (c *call) pausedRefusal(owner *catalog.Server, now time.Time) *reason.Error {
+	held := c.gateway.backends.Held(owner, c.headers.ID, now)
+	if held == nil {
+		return nil
+	}
+	return c.heldRefusal("choose", held)
+}
+
+// noOwnerRefusal returns the refusal for a request whose key has no owner that takes it.
+func (c *call) noOwnerRefusal(now time.Time) *reason.Error {
+	if owner := c.leavingOwner(now); owner != nil {
+		if held := c.gateway.backends.Held(owner, c.headers.ID, now); held != nil {
+			return c.heldRefusal("choose", held)
+		}
+	}
+	return reason.New(reason.NoOwner, "choose", string(c.service), "key %d has no owner", c.headers.Key)
+}
+
+// leavingOwner returns the server that the owners record names for the request's key if
+// it said that it is leaving, or nil.
+func (c *call) leavingOwner(now time.Time) *catalog.Server {
+	snapshot := c.gateway.catalog.Load()
+	owners := snapshot.Owners[c.service]
+	if owners == nil {
+		return nil
+	}
+	keyRange := owners.Owner(c.headers.Key)
+	if keyRange == nil {
+		return nil
+	}
+	server := snapshot.Servers[keyRange.Server]
+	if server == nil || server.StartedMS != keyRange.StartedMS || !c.gateway.backends.IsLeaving(server, now) {
+		return nil
+	}
+	return server
+}
--- a/internal/keeper/failure.go
+++ b/internal/keeper/failure.go
@@ -13,7 +13,7 @@
 // confirmEnded reports whether the process of a server that is not listening is known
 // to have ended, so that it runs no more requests. It reads the registration from the
 // store: a server that stops listening while it still works has first been registered
-// as leaving, or deregistered. If neither is the case, the process has crashed.
+// as leaving, or deregistered, or has said that it leaves. If neither is the case, the process has crashed.
 func (s *serviceKeeper) confirmEnded(h *holder, failure error) bool {
 	s.mu.Lock()
 	ended, decided := h.ended, h.ended || h.shuttingDown
@@ -26,8 +26,8 @@
 		s.log.Warn("failed to read registration, waiting for the grants to expire", zap.String("server", string(h.server.ID)), zap.Error(err))
 		return false
 	}
-	crashed := found && registered.SameProcess(h.server) && !registered.Leaving
 	s.mu.Lock()
+	crashed := found && registered.SameProcess(h.server) && !s.isLeaving(registered)
 	h.shuttingDown = !crashed
 	s.mu.Unlock()
 	s.log.Info("server is not listening", zap.String("server", string(h.server.ID)),
--- a/internal/keeper/forms_test.go
+++ b/internal/keeper/forms_test.go
@@ -14,5 +14,6 @@
 		formtest.Form{Name: "askRequest", Value: statusRequest{}},
 		formtest.Form{Name: "yieldRequest", Value: yieldRequest{}},
 		formtest.Form{Name: "reportRequest", Value: reportRequest{}},
+		formtest.Form{Name: "leavingRequest", Value: leavingRequest{}},
 	)
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -82,7 +83,9 @@
 	store    platform.RecordStore
 	client   *rpc.Client
 	backends *backends.Backends
-	log      *zap.Logger
+	// handedOver counts the keys that were moved since their owner said that it leaves.
+	handedOver *metrics.Counter
+	log        *zap.Logger
 
 	// newServerClient returns a client for one process of a server.
 	newServerClient func(*catalog.Server) serverClient
@@ -111,6 +114,7 @@
 	server *rpc.Server,
 	client *rpc.Client,
 	b *backends.Backends,
+	registry *metrics.Registry,
 	log *zap.Logger,
 ) *Keeper {
 	k := &Keeper{
@@ -120,16 +124,18 @@
 		store:          store,
 		client:         client,
 		backends:       b,
+		handedOver:     registry.Counter(`keys_handed_over_total{cause="server said that it leaves"}`),
 		log:            log.Named(string(ServiceName)),
 		serviceKeepers: map[model.PoolName]*serviceKeeper{},
 		watchedKeepers: map[model.PoolName]*watchedKeeper{},
 	}
-	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server) }
+	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b.RecordLeaving) }
 	k.queryStatus = k.queryDaemon
 	k.yield = k.yieldDaemon
 	rpc.Handle(server, methodYield, k.serveYield)
 	rpc.Handle(server, methodStatus, k.serveStatus)
 	rpc.Handle(server, methodReport, k.serveReport)
+	rpc.Handle(server, methodLeaving, k.serveLeaving)
 	return k
 }
 
@@ -147,6 +153,7 @@
 func (k *Keeper) Start(context.Context) error {
 	k.background.Go(k.monitorLoop)
 	k.background.Go(k.reportLoop)
+	k.background.Go(k.leavingLoop)
 	return nil
 }
 
--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -38,13 +38,15 @@
 type httpClient struct {
 	dialect dialect.Dialect
 	server  *catalog.Server
+	// saidLeaving is called when a response says that the server is leaving.
+	saidLeaving func(*catalog.Server)
 	// grantConns lead to the process that received the first grant, pool to any
 	// process that listens at the address.
 	grantConns *processConns
 	pool       *httplink.Pool
 }
 
-func newHTTPClient(d dialect.Dialect, network *netx.Network, server *catalog.Server) *httpClient {
+func newHTTPClient(d dialect.Dialect, network *netx.Network, server *catalog.Server, saidLeaving func(*catalog.Server)) *httpClient {
 	dial := func(address string) (net.Conn, error) {
 		conn, err := network.Dial(address)
 		if err != nil {
@@ -56,7 +58,10 @@
 		}
 		return conn, nil
 	}
-	return &httpClient{dialect: d, server: server, grantConns: newProcessConns(server.Address, dial), pool: httplink.NewPool(server.Address, maxCallConnections, dial)}
+	return &httpClient{
+		dialect: d, server: server, saidLeaving: saidLeaving,
+		grantConns: newProcessConns(server.Address, dial), pool: httplink.NewPool(server.Address, maxCallConnections, dial),
+	}
 }
 
 // callResult is the outcome of a call. Its status is valid if err is nil.
@@ -89,6 +94,9 @@
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: true, err: err}
 	}
+	if signs := c.dialect.ReadServerResponse(response); signs.Leaving && !signs.Misdirected {
+		c.saidLeaving(c.server)
+	}
 	return response, callResult{sent: true, status: response.StatusCode()}
 }
 
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -45,6 +45,7 @@
 	// servers release keys. Before, the answer to a release does not say that all work
 	// on the keys has ended.
 	earlierReleasesUntil time.Time
+	leaving              leavingServers
 	missingSince         map[model.ServerID]time.Time // when an owner was first seen unregistered in a likely outage
 	steppedDown          bool
 	balancedAt           time.Time // when the last round of balancing began
@@ -65,6 +66,7 @@
 		holders:            map[model.ServerID]*holder{},
 		load:               newLoad(time.Now()),
 		earlierGrantsUntil: earlierGrantsUntil,
+		leaving:            leavingServers{},
 		missingSince:       map[model.ServerID]time.Time{},
 		storeSeenAt:        time.Now(),
 	}
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -35,6 +35,7 @@
 	DeadlineTooShort   Code = "deadline_too_short"
 	DeadlinePassed     Code = "deadline_passed"
 	ServerShed         Code = "server_shed"
+	ServerPaused       Code = "server_paused" // the server asked for a pause
 	ServerDraining     Code = "server_draining"
 	ServerUnreachable  Code = "server_unreachable"
 	ServerLost         Code = "server_lost"
@@ -146,7 +147,7 @@
 	switch c {
 	case NoOwner, WrongEpoch, ShardMoving, NotDispatcher, PermitExpired, ServerDraining, ServerUnreachable, DispatcherLost:
 		return retrySoon
-	case QueueFull, EntryFull, RetryBudget, ServerShed, ServerRefusedGrant, DeadlineTooShort, InProgress, ShuttingDown, NotReady:
+	case QueueFull, EntryFull, RetryBudget, ServerShed, ServerPaused, ServerRefusedGrant, DeadlineTooShort, InProgress, ShuttingDown, NotReady:
 		return retryLater
 	case StoreUnavailable:
 		return retryStore
--- /dev/null
+++ b/internal/sendgate/sendgate.go
@@ -0,0 +1,222 @@
+// Package sendgate decides whether this daemon may send requests to a server now, by what
+// the server said in its responses: that it is about to shut down, or that it wants no
+// requests for a time. Whether a server is full, failing or lost is not its matter, and it
+// does no network calls.
+package sendgate
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+const (
+	// leavingGrace is the time for which a leaving server still gets requests that only it
+	// can run, or that were on their way. The platform's bound is 2 s.
+	leavingGrace = 1500 * time.Millisecond
+	// forgetAfter is the time after which a process that is not registered any more is
+	// forgotten: registrations also lapse during an outage of the store.
+	forgetAfter = 10 * time.Minute
+	// maxProcesses bounds the memory.
+	maxProcesses = 4096
+
+	jitterShare = 0.2                    // of a pause, added at random so that the daemons return one after the other
+	minJitter   = 100 * time.Millisecond // range of the jitter after short pauses,
+	maxJitter   = time.Second            // and after long ones
+
+	returnSpread    = 100 * time.Millisecond // range over which the callers of one rank return after a pause
+	leavingRetryGap = 300 * time.Millisecond // until another server takes the place of a leaving one
+)
+
+// Process identifies one process of a server. A later process under the same id or at the
+// same address is another one.
+type Process struct {
+	Server    model.ServerID
+	Address   string
+	StartedMS int64
+}
+
+// ProcessOf returns the identity of a server's process.
+func ProcessOf(s *catalog.Server) Process {
+	return Process{Server: s.ID, Address: s.Address, StartedMS: s.StartedMS}
+}
+
+// Reason says why a server gets no requests.
+type Reason string
+
+// Values of Reason.
+const (
+	// Open: the server may get requests.
+	Open Reason = ""
+	// Paused: the server asked for a pause.
+	Paused Reason = "pause"
+	// Leaving: the server said that it is about to shut down.
+	Leaving Reason = "leaving"
+)
+
+// Verdict is the answer of a gate.
+type Verdict struct {
+	Reason Reason
+	// Until is the time from which the server may get requests again. It is zero unless
+	// the reason is Paused.
+	Until time.Time
+}
+
+// Before reports whether a server with this verdict takes requests earlier than one with
+// the other. A leaving server takes none any more.
+func (v Verdict) Before(other Verdict) bool {
+	if v.Reason == Leaving || other.Reason == Leaving {
+		return v.Reason != Leaving
+	}
+	return v.Until.Before(other.Until)
+}
+
+// RetryAfter returns the time after which a caller of the given rank, 0 being the most
+// urgent one, is advised to send its request again. It is spread at random; callers of
+// urgent ranks return before the others.
+func (v Verdict) RetryAfter(rank int, now time.Time) time.Duration {
+	wait := leavingRetryGap
+	if v.Reason == Paused {
+		wait = max(v.Until.Sub(now), 0)
+	}
+	return wait + time.Duration((float64(rank)+rand.Float64())*float64(returnSpread))
+}
+
+// Gate holds what server processes said. It is safe for concurrent use.
+type Gate struct {
+	mu        sync.Mutex
+	processes map[Process]*statement
+}
+
+// statement is what one process said.
+type statement struct {
+	recordedAt   time.Time // the last time
+	leavingSince time.Time // zero if the process did not say that it leaves
+	pausedUntil  time.Time
+	goneSince    time.Time // zero while the process is registered
+}
+
+// New returns a gate that lets all requests pass.
+func New() *Gate { return &Gate{processes: map[Process]*statement{}} }
+
+// RecordLeaving records that the process said that it is about to shut down. It reports
+// whether this is the first time.
+func (g *Gate) RecordLeaving(p Process, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.statement(p, now)
+	if !s.leavingSince.IsZero() {
+		return false
+	}
+	s.leavingSince = now
+	return true
+}
+
+// RecordPause records that the process wants no requests for a time. It returns the time
+// from which this daemon sends again, which is later than the end by a random time of its
+// own. An earlier request for a longer pause stays in force.
+func (g *Gate) RecordPause(p Process, pause time.Duration, now time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.statement(p, now)
+	if until := now.Add(pause + jitter(pause)); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+	return s.pausedUntil
+}
+
+// jitter returns the random time by which this daemon returns later than the pause ends.
+func jitter(pause time.Duration) time.Duration {
+	span := min(max(time.Duration(jitterShare*float64(pause)), minJitter), maxJitter)
+	return time.Duration(rand.Float64() * float64(span))
+}
+
+// statement returns the statement of a process, and adds an empty one if there is none.
+// The caller must hold g.mu.
+func (g *Gate) statement(p Process, now time.Time) *statement {
+	s := g.processes[p]
+	if s == nil {
+		if len(g.processes) >= maxProcesses {
+			g.dropOldest()
+		}
+		s = &statement{}
+		g.processes[p] = s
+	}
+	s.recordedAt = now
+	return s
+}
+
+// dropOldest forgets the process that said nothing for the longest time. The caller must
+// hold g.mu.
+func (g *Gate) dropOldest() {
+	var oldest Process
+	var at time.Time
+	for p, s := range g.processes {
+		if at.IsZero() || s.recordedAt.Before(at) {
+			oldest, at = p, s.recordedAt
+		}
+	}
+	delete(g.processes, oldest)
+}
+
+// MayChoose returns whether the process may be chosen for a request that other servers
+// may run too. A leaving one may not, from the start.
+func (g *Gate) MayChoose(p Process, now time.Time) Verdict { return g.verdict(p, now, 0) }
+
+// MaySend returns whether a request that was chosen for the process, or that only it may
+// run, may be sent. To a leaving one it may for a short time.
+func (g *Gate) MaySend(p Process, now time.Time) Verdict { return g.verdict(p, now, leavingGrace) }
+
+func (g *Gate) verdict(p Process, now time.Time, grace time.Duration) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.processes[p]
+	switch {
+	case s == nil:
+		return Verdict{}
+	case !s.leavingSince.IsZero() && now.Sub(s.leavingSince) >= grace:
+		return Verdict{Reason: Leaving}
+	case now.Before(s.pausedUntil):
+		return Verdict{Reason: Paused, Until: s.pausedUntil}
+	default:
+		return Verdict{}
+	}
+}
+
+// LeavingProcesses returns the processes that said that they are about to shut down.
+func (g *Gate) LeavingProcesses() []Process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var leaving []Process
+	for p, s := range g.processes {
+		if !s.leavingSince.IsZero() {
+			leaving = append(leaving, p)
+		}
+	}
+	return leaving
+}
+
+// Prune forgets pauses that have ended, and processes that are gone: those whose id
+// another process has, and those that have not been registered for forgetAfter.
+func (g *Gate) Prune(registered map[model.ServerID]*catalog.Server, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for p, s := range g.processes {
+		server := registered[p.Server]
+		switch {
+		case s.leavingSince.IsZero() && now.After(s.pausedUntil):
+			delete(g.processes, p)
+		case server != nil && ProcessOf(server) == p:
+			s.goneSince = time.Time{}
+		case server != nil:
+			delete(g.processes, p)
+		case s.goneSince.IsZero():
+			s.goneSince = now
+		case now.Sub(s.goneSince) > forgetAfter:
+			delete(g.processes, p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sendgate/sendgate_test.go
@@ -0,0 +1,96 @@
+package sendgate
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/model"
+)
+
+var (
+	start  = time.Date(2026, time.March, 5, 12, 0, 0, 0, time.UTC)
+	first  = Process{Server: "s", Address: "10.0.0.1:80", StartedMS: 1}
+	second = Process{Server: "s", Address: "10.0.0.1:80", StartedMS: 2}
+)
+
+func registration(p Process) map[model.ServerID]*catalog.Server {
+	return map[model.ServerID]*catalog.Server{p.Server: {ID: p.Server, Address: p.Address, StartedMS: p.StartedMS}}
+}
+
+func TestLeavingProcessGetsOnlyOwnRequestsForShortTime(t *testing.T) {
+	g := New()
+	must.True(t, g.RecordLeaving(first, start))
+	must.False(t, g.RecordLeaving(first, start.Add(time.Second)))
+	must.Eq(t, Verdict{Reason: Leaving}, g.MayChoose(first, start))
+	must.Eq(t, Verdict{}, g.MaySend(first, start.Add(leavingGrace-time.Millisecond)))
+	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start.Add(leavingGrace)))
+	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start.Add(time.Hour)))
+	must.Eq(t, Verdict{}, g.MayChoose(second, start.Add(time.Hour)))
+	must.Eq(t, []Process{first}, g.LeavingProcesses())
+}
+
+// No request passes before the longest of the pauses that were asked for has ended, and
+// all pass once the jitter has passed too.
+func TestPauseEndsAfterLongestOneAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := New()
+		now, end := start, start
+		for range rapid.IntRange(1, 5).Draw(t, "pauses") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "later, ms")) * time.Millisecond)
+			pause := time.Duration(rapid.IntRange(0, 10000).Draw(t, "pause, ms")) * time.Millisecond
+			g.RecordPause(first, pause, now)
+			if ends := now.Add(pause); ends.After(end) {
+				end = ends
+			}
+		}
+		must.Eq(t, Paused, g.MaySend(first, end.Add(-time.Nanosecond)).Reason)
+		must.Eq(t, Verdict{}, g.MaySend(first, end.Add(maxJitter)))
+		must.Eq(t, Verdict{}, g.MaySend(second, now))
+	})
+}
+
+func TestProcessIsForgottenWhenItIsSurelyGone(t *testing.T) {
+	g := New()
+	g.RecordLeaving(first, start)
+	g.Prune(nil, start)
+	g.Prune(nil, start.Add(forgetAfter-time.Second))
+	must.Eq(t, Leaving, g.MayChoose(first, start).Reason, must.Sprint("its registration may have lapsed"))
+	g.Prune(registration(first), start.Add(forgetAfter-time.Second))
+	g.Prune(nil, start.Add(forgetAfter))
+	g.Prune(nil, start.Add(forgetAfter+time.Minute))
+	must.Eq(t, Leaving, g.MayChoose(first, start).Reason)
+	g.Prune(registration(second), start.Add(forgetAfter+time.Minute))
+	must.Eq(t, Open, g.MayChoose(first, start).Reason)
+	must.MapEmpty(t, g.processes)
+}
+
+func TestNumberOfProcessesIsBounded(t *testing.T) {
+	g := New()
+	for i := range maxProcesses + 5 {
+		g.RecordPause(Process{Server: model.ServerID(strconv.Itoa(i))}, time.Hour, start.Add(time.Duration(i)))
+	}
+	must.MapLen(t, maxProcesses, g.processes)
+	must.Eq(t, Open, g.MayChoose(Process{Server: "4"}, start).Reason)
+	must.Eq(t, Paused, g.MayChoose(Process{Server: "5"}, start).Reason)
+	g.Prune(nil, start.Add(3*time.Hour))
+	must.MapEmpty(t, g.processes)
+}
+
+// Callers return after the pause, urgent ones first, and not together.
+func TestCallersReturnAfterPauseUrgentOnesFirst(t *testing.T) {
+	v := Verdict{Reason: Paused, Until: start.Add(time.Second)}
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		urgent, other := v.RetryAfter(0, start), v.RetryAfter(1, start)
+		must.GreaterEq(t, time.Second, urgent)
+		must.Less(t, other, urgent)
+		seen[urgent] = true
+	}
+	must.Greater(t, 50, len(seen))
+	must.Positive(t, Verdict{Reason: Leaving}.RetryAfter(0, start))
+}
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -32,6 +32,7 @@
 	headerLoad             = "Chicorylug-Instance-Load"
 	headerKey              = "Chicorylug-Shard-Key"
 	headerHandover         = "Chicorylug-Handover"
+	headerLeaving          = "Server-Leaving"
 	pathGrant              = "/-/grant"
 	pathRelease            = "/-/release"
 	pathHealth             = "/healthz"
@@ -56,6 +57,10 @@
 	ResetAfterRun bool
 	// ShedAll rejects every request as shed and not run.
 	ShedAll bool
+	// SayLeaving says in each response that the server is about to shut down.
+	SayLeaving bool
+	// Pause, if not empty, rejects every request with this Retry-After value.
+	Pause string
 	// WrongAttemptID sends the attempt id of another request in each response.
 	WrongAttemptID bool
 	// Unframed sends responses without a length, whose end is the end of the connection.
@@ -97,6 +102,7 @@
 	deadlines    []time.Duration // time limits that the run requests stated
 	stopped      bool
 	sequence     int // number of the last registration
+	arrivals     int // requests that reached the server, whether they ran or not
 }
 
 // keyGrant is the server's grant for one key. The zero value is no grant.
@@ -226,6 +232,14 @@
 	return total
 }
 
+// Arrivals returns the number of requests that reached the server, whether they ran or
+// not. Grants, releases and health checks do not count.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
 // Owns reports whether the server owns a key now.
 func (s *Server) Owns(key int) bool {
 	s.mu.Lock()
@@ -251,10 +265,19 @@
 	return s.faults.Unresponsive && !s.stopped
 }
 
+func (s *Server) saysLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.SayLeaving
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
 	s.waitWhileUnresponsive()
 	h := &ctx.Request.Header
+	if s.saysLeaving() {
+		ctx.Response.Header.Set(headerLeaving, "1")
+	}
 	ctx.Response.Header.Set(headerInstance, s.options.ID)
 	if expected := string(h.Peek(headerExpectedInstance)); expected != "" && expected != s.options.ID {
 		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
@@ -284,7 +307,14 @@
 		key = number
 	}
 	s.mu.Lock()
+	s.arrivals++
 	f := s.faults
+	if f.Pause != "" {
+		s.mu.Unlock()
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, f.Pause)
+		s.refuse(ctx, fasthttp.StatusServiceUnavailable)
+		return
+	}
 	if s.options.Keyed && (key < 0 || !s.ownsAt(key, time.Now())) {
 		s.mu.Unlock()
 		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
