backends: daemons return from a pause one after the other; no probes in it

Cause: with a random jitter for each server, a daemon whose servers had all paused met one of them alone at first; the keeper's probes, each 0.1 s, also reached a server that had asked for a pause.

Change: each daemon has one place in the order of return, for all servers. Probes wait for the end of a pause; the signs in answers to grants and probes count too, so that keys leave an idle owner that says it leaves.

--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -77,13 +77,22 @@
 	}
 	if first != nil {
 		b.gateMeters.held[first.Verdict.Reason].Inc()
-		b.log.Info("send held back, so do all servers of the service", zap.String("request", string(request)),
+		b.log.Info("send held back, no server of the service takes requests", zap.String("request", string(request)),
 			zap.String("server", string(first.Server)), zap.String("service", string(service)),
 			zap.String("reason", string(first.Verdict.Reason)), zap.Time("until", first.Verdict.Until))
 	}
 	return first
 }
 
+// Paused returns an error if the server asked for a pause that has not ended.
+func (b *Backends) Paused(server *catalog.Server, now time.Time) *HeldError {
+	verdict := b.gate.MaySend(sendgate.ProcessOf(server), now)
+	if verdict.Reason != sendgate.Paused {
+		return nil
+	}
+	return &HeldError{Server: server.ID, Verdict: verdict}
+}
+
 // MayChoose reports whether the server may be chosen for a request that other servers may
 // run too.
 func (b *Backends) MayChoose(server *catalog.Server, now time.Time) bool {
@@ -99,21 +108,17 @@
 // LeavingProcesses returns the server processes that said that they are leaving.
 func (b *Backends) LeavingProcesses() []sendgate.Process { return b.gate.LeavingProcesses() }
 
-// RecordLeaving records that the server said that it is leaving.
-func (b *Backends) RecordLeaving(server *catalog.Server) {
-	if b.gate.RecordLeaving(sendgate.ProcessOf(server), time.Now()) {
-		b.log.Info("server says that it is leaving", zap.String("server", string(server.ID)), zap.String("service", string(server.Service)))
-	}
-}
-
-// recordSigns records what the headers of a response say about further requests to the
-// server. It returns the pause as an error, or nil if the server did not ask for one.
-func (b *Backends) recordSigns(a *Attempt, headers *dialect.ServerResponse) *HeldError {
-	if headers.ServerID != "" && headers.ServerID != a.Server.ID {
+// RecordSigns records what the headers of a response say about further requests to the
+// server. It returns the pause as an error, or nil if the server did not ask for one. The
+// request is empty if the response is not to a caller's request.
+func (b *Backends) RecordSigns(server *catalog.Server, request model.RequestID, headers *dialect.ServerResponse) *HeldError {
+	if headers.ServerID != "" && headers.ServerID != server.ID {
 		return nil // another server has the address now
 	}
-	if headers.Leaving {
-		b.RecordLeaving(a.Server)
+	process := sendgate.ProcessOf(server)
+	if headers.Leaving && b.gate.RecordLeaving(process, time.Now()) {
+		b.log.Info("server says that it is leaving", zap.String("request", string(request)), zap.String("server", string(server.ID)),
+			zap.String("service", string(server.Service)))
 	}
 	if !headers.HasPause {
 		return nil
@@ -122,8 +127,8 @@
 	if headers.PauseErr != nil {
 		b.gateMeters.unreadable.Inc()
 	}
-	until := b.gate.RecordPause(sendgate.ProcessOf(a.Server), headers.Pause, time.Now())
-	b.log.Info("server asked for a pause", zap.String("request", string(a.ID)), zap.String("server", string(a.Server.ID)),
-		zap.String("service", string(a.Server.Service)), zap.Duration("pause", headers.Pause), zap.Time("until", until), zap.Error(headers.PauseErr))
-	return &HeldError{Server: a.Server.ID, Verdict: sendgate.Verdict{Reason: sendgate.Paused, Until: until}}
+	until := b.gate.RecordPause(process, headers.Pause, time.Now())
+	b.log.Info("server asked for a pause", zap.String("request", string(request)), zap.String("server", string(server.ID)),
+		zap.String("service", string(server.Service)), zap.Duration("pause", headers.Pause), zap.Time("until", until), zap.Error(headers.PauseErr))
+	return &HeldError{Server: server.ID, Verdict: sendgate.Verdict{Reason: sendgate.Paused, Until: until}}
 }
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -150,7 +150,7 @@
 		exchange.Abort()
 		return Result{Execution: MayHaveRun, Sent: true, Err: errWrongRequestID}
 	}
-	pause := b.recordSigns(a, &headers)
+	pause := b.RecordSigns(a.Server, a.ID, &headers)
 	body, err := b.readBody(exchange)
 	if err != nil {
 		exchange.Abort()
--- a/internal/daemon/fenced_pause_test.go
+++ b/internal/daemon/fenced_pause_test.go
@@ -67,6 +67,20 @@
 	c.checkOwnership()
 }
 
+// The keeper also sees the sign in the answers to its grants: no request has to meet it.
+func TestKeysLeaveIdleOwnerThatSaysItLeaves(t *testing.T) {
+	c := newCluster(t, 2, 3, 1)
+	owner := c.servers[0]
+	owner.SetFaults(fenced.Faults{SayLeaving: true})
+	c.await("keys elsewhere", func() error {
+		if keys := c.keysOf(owner); keys > 0 {
+			return fmt.Errorf("%s still holds %d keys", owner.ID(), keys)
+		}
+		return nil
+	})
+	c.checkOwnership()
+}
+
 // While the store is down no key can get a new owner: the requests for the keys of a
 // leaving server are refused as not run.
 func TestRequestsForKeysOfLeavingOwnerAreRefusedWhileStoreIsDown(t *testing.T) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -129,7 +129,7 @@
 		serviceKeepers: map[model.PoolName]*serviceKeeper{},
 		watchedKeepers: map[model.PoolName]*watchedKeeper{},
 	}
-	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b.RecordLeaving) }
+	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b) }
 	k.queryStatus = k.queryDaemon
 	k.yield = k.yieldDaemon
 	rpc.Handle(server, methodYield, k.serveYield)
--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/httplink"
@@ -38,15 +39,15 @@
 type httpClient struct {
 	dialect dialect.Dialect
 	server  *catalog.Server
-	// saidLeaving is called when a response says that the server is leaving.
-	saidLeaving func(*catalog.Server)
+	// backends keeps what responses say about further requests to the server.
+	backends *backends.Backends
 	// grantConns lead to the process that received the first grant, pool to any
 	// process that listens at the address.
 	grantConns *processConns
 	pool       *httplink.Pool
 }
 
-func newHTTPClient(d dialect.Dialect, network *netx.Network, server *catalog.Server, saidLeaving func(*catalog.Server)) *httpClient {
+func newHTTPClient(d dialect.Dialect, network *netx.Network, server *catalog.Server, b *backends.Backends) *httpClient {
 	dial := func(address string) (net.Conn, error) {
 		conn, err := network.Dial(address)
 		if err != nil {
@@ -59,7 +60,7 @@
 		return conn, nil
 	}
 	return &httpClient{
-		dialect: d, server: server, saidLeaving: saidLeaving,
+		dialect: d, server: server, backends: b,
 		grantConns: newProcessConns(server.Address, dial), pool: httplink.NewPool(server.Address, maxCallConnections, dial),
 	}
 }
@@ -94,9 +95,8 @@
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: true, err: err}
 	}
-	if signs := c.dialect.ReadServerResponse(response); signs.Leaving && !signs.Misdirected {
-		c.saidLeaving(c.server)
-	}
+	signs := c.dialect.ReadServerResponse(response)
+	c.backends.RecordSigns(c.server, "", &signs)
 	return response, callResult{sent: true, status: response.StatusCode()}
 }
 
@@ -131,8 +131,11 @@
 	return outcome, result
 }
 
-// probe implements serverClient.
+// probe implements serverClient. It does not ask a server that asked for a pause.
 func (c *httpClient) probe(ctx context.Context, healthPath string) error {
+	if pause := c.backends.Paused(c.server, time.Now()); pause != nil {
+		return pause
+	}
 	response, result := c.do(ctx, c.pool, grantTimeout, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
 	if result.err != nil {
 		return result.err
--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -23,9 +23,9 @@
 	// maxProcesses bounds the memory.
 	maxProcesses = 4096
 
-	jitterShare = 0.2                    // of a pause, added at random so that the daemons return one after the other
-	minJitter   = 100 * time.Millisecond // range of the jitter after short pauses,
-	maxJitter   = time.Second            // and after long ones
+	jitterShare = 0.2                    // of a pause: range over which the daemons return, each at its own time
+	minJitter   = 100 * time.Millisecond // range after short pauses,
+	maxJitter   = 500 * time.Millisecond // and after long ones
 
 	returnSpread    = 100 * time.Millisecond // range over which the callers of one rank return after a pause
 	leavingRetryGap = 300 * time.Millisecond // until another server takes the place of a leaving one
@@ -87,6 +87,9 @@
 
 // Gate holds what server processes said. It is safe for concurrent use.
 type Gate struct {
+	// phase, from 0 to 1, is this daemon's place in the order in which daemons return.
+	phase float64
+
 	mu        sync.Mutex
 	processes map[Process]*statement
 }
@@ -100,7 +103,7 @@
 }
 
 // New returns a gate that lets all requests pass.
-func New() *Gate { return &Gate{processes: map[Process]*statement{}} }
+func New() *Gate { return &Gate{phase: rand.Float64(), processes: map[Process]*statement{}} }
 
 // RecordLeaving records that the process said that it is about to shut down. It reports
 // whether this is the first time.
@@ -116,22 +119,23 @@
 }
 
 // RecordPause records that the process wants no requests for a time. It returns the time
-// from which this daemon sends again, which is later than the end by a random time of its
-// own. An earlier request for a longer pause stays in force.
+// from which this daemon sends again, which is later than the end by a time of its own. An earlier request for a longer pause stays in force.
 func (g *Gate) RecordPause(p Process, pause time.Duration, now time.Time) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.statement(p, now)
-	if until := now.Add(pause + jitter(pause)); until.After(s.pausedUntil) {
+	if until := now.Add(pause + g.jitter(pause)); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
 	return s.pausedUntil
 }
 
-// jitter returns the random time by which this daemon returns later than the pause ends.
-func jitter(pause time.Duration) time.Duration {
+// jitter returns the time by which this daemon returns later than the pause ends. It is
+// the same for all servers, so that the daemon has all of them again when they paused
+// together.
+func (g *Gate) jitter(pause time.Duration) time.Duration {
 	span := min(max(time.Duration(jitterShare*float64(pause)), minJitter), maxJitter)
-	return time.Duration(rand.Float64() * float64(span))
+	return time.Duration(g.phase * float64(span))
 }
 
 // statement returns the statement of a process, and adds an empty one if there is none.
