backends: tests of the gate at the choice and before the send

Cause: that a request chosen before the sign came is held back, and that the one server which takes requests is found among many, was only covered through the daemon.

Change: three tests with the real Backends and no network.

Conclusion: also covers signs of another server at a reused address.

--- /dev/null
+++ b/internal/backends/gate_test.go
@@ -0,0 +1,65 @@
+package backends
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/sendgate"
+)
+
+// A request that was chosen for a server, or waited for a ticket, when the server asked for
+// a pause is not sent: there is no network here.
+func TestChosenRequestIsHeldBackRightBeforeSend(t *testing.T) {
+	h := newHerd(t)
+	b := h.daemons[0]
+	server := b.Choose(h.snapshot, &Criteria{Service: "s"})
+	b.RecordSigns(server, "earlier", &dialect.ServerResponse{HasPause: true, Pause: time.Minute})
+	result := b.Send(context.Background(), &Attempt{ID: "chosen", Server: server, Deadline: time.Now().Add(time.Second)})
+	must.Eq(t, NotRun, result.Execution)
+	must.False(t, result.Sent)
+	var held *HeldError
+	must.True(t, errors.As(result.Err, &held))
+	must.Eq(t, sendgate.Paused, held.Verdict.Reason)
+	must.Eq(t, 1, b.gateMeters.held[sendgate.Paused].Get())
+}
+
+// In a large service only some servers are considered for a request. The one that takes
+// requests is found all the same.
+func TestOnlyServerWithoutPauseIsFoundAmongMany(t *testing.T) {
+	h := newHerd(t)
+	b := h.daemons[0]
+	for i, server := range h.servers {
+		switch {
+		case i == 77:
+		case i%2 == 0:
+			b.RecordSigns(server, "", &dialect.ServerResponse{HasPause: true, Pause: time.Minute})
+		default:
+			b.RecordSigns(server, "", &dialect.ServerResponse{Leaving: true})
+		}
+	}
+	for range 50 {
+		must.Eq(t, h.servers[77], b.Choose(h.snapshot, &Criteria{Service: "s"}))
+	}
+	must.Nil(t, b.HeldService(h.snapshot, "s", "", time.Now()))
+	b.RecordSigns(h.servers[77], "", &dialect.ServerResponse{Leaving: true})
+	must.Nil(t, b.Choose(h.snapshot, &Criteria{Service: "s"}))
+	must.Eq(t, sendgate.Paused, b.HeldService(h.snapshot, "s", "", time.Now()).Verdict.Reason)
+}
+
+// What another server says at a reused address does not count for the earlier one.
+func TestSignsOfAnotherServerDoNotCount(t *testing.T) {
+	h := newHerd(t)
+	b := h.daemons[0]
+	b.RecordSigns(h.servers[0], "", &dialect.ServerResponse{Leaving: true, HasPause: true, Pause: time.Minute, ServerID: "another"})
+	must.True(t, b.MayChoose(h.servers[0], time.Now()))
+	later := &catalog.Server{ID: h.servers[0].ID, StartedMS: 5}
+	b.RecordSigns(h.servers[0], "", &dialect.ServerResponse{Leaving: true})
+	must.False(t, b.MayChoose(h.servers[0], time.Now()))
+	must.True(t, b.MayChoose(later, time.Now()))
+}
