keeper: servers get their keys back after all of a service were cut off at once

Cause: no move is planned while no server may get keys. Failing servers are none that may; but a server that answers again is to get its own keys under new fences, which is planned as a move too. Evidence: TestServersGetTheirKeysBackAfterAllWereCutOff failed before (key 0 has no owner at the end). The model draws the event from now on. Why this works: moves to others still need a candidate, in reassign and balance; the move of a server's keys to itself does not.

--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -21,7 +21,7 @@
 func (s *serviceKeeper) dueMoves(now time.Time) []Move {
 	snapshot := s.keeper.catalog.Load()
 	assignable := s.assignable(snapshot)
-	if len(assignable) == 0 || now.Before(s.noMovesBefore) || s.mustNotGrant(now) {
+	if now.Before(s.noMovesBefore) || s.mustNotGrant(now) {
 		return nil
 	}
 	if len(s.owners.Ranges) == 0 {
@@ -36,7 +36,7 @@
 	for _, r := range s.owners.Ranges {
 		s.planRange(p, snapshot, r, outage, now)
 	}
-	if len(p.moves) > 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
+	if len(p.moves) > 0 || len(assignable) == 0 || now.Sub(s.balancedAt) < balancePeriod || now.Before(s.earlierReleasesUntil) || s.load.counted < minRequests {
 		return p.moves
 	}
 	s.balancedAt = now
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -43,7 +43,7 @@
 	"crash", "crash", "replaced at its address", "restarted", "leave", "leave", "server silent", "registration lapses",
 	"store down", "store cut off from one daemon", "lose writes", "late writes",
 	"lose grants", "late grants", "late releases",
-	"lingering grants", "keeper killed", "keeper paused", "keeper isolated",
+	"lingering grants", "keeper killed", "keeper paused", "keeper isolated", "keeper cut off from all servers",
 	"store restored", "store restored", "store restored", "store answers no longer reach one daemon",
 	"store restored and keeper killed", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
 }
@@ -166,6 +166,11 @@
 		d.storeCutUntil = time.Now().Add(2 * e.duration)
 		d.isolatedUntil = d.storeCutUntil
 		d.mu.Unlock()
+	case "keeper cut off from all servers":
+		d := h.daemons[h.keeperIndex()]
+		d.mu.Lock()
+		d.serversCutUntil = time.Now().Add(e.duration)
+		d.mu.Unlock()
 	case "store cut off from one daemon":
 		d := h.daemons[e.index%len(h.daemons)]
 		d.mu.Lock()
@@ -374,6 +379,15 @@
 	})
 }
 
+// When the connections to all servers of a service had been lost at once, none of them could
+// get keys, and no server was ever granted its own keys again under new fences.
+func TestServersGetTheirKeysBackAfterAllWereCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		violations, log := playHistory([]event{{kind: "keeper cut off from all servers", duration: 4 * time.Second}})
+		must.SliceEmpty(t, violations, must.Sprint(log))
+	})
+}
+
 func TestHistoryWithoutFaultsKeepsAllKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		violations, log := playHistory(nil)
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -283,6 +283,7 @@
 	from         *simDaemon
 	server       *catalog.Server
 	firstProcess *process // the process that received the first grant; no other one gets grants
+	connsLost    bool     // a call to it was cut off: no connection to the process is left
 }
 
 func (c *simClient) close() {}
@@ -294,6 +295,10 @@
 		return nil, err
 	}
 	time.Sleep(modelMessageDelay)
+	if c.from.cutOffFromServers() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	c.sim.mu.Lock()
 	p := c.sim.byAddress[c.server.Address]
 	refused := p == nil || p.ended || p.notListening
@@ -312,6 +317,10 @@
 func (c *simClient) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
+	c.connsLost = c.connsLost || (c.firstProcess != nil && c.from.cutOffFromServers())
+	if c.connsLost {
+		return dialect.GrantRefused, callResult{err: errProcessConnsLost}
+	}
 	p, err := c.connect(ctx)
 	if err != nil {
 		return dialect.GrantRefused, callResult{sent: !errors.Is(err, errNotListening), err: err}
@@ -434,9 +443,11 @@
 	deafUntil     time.Time // the store does what this daemon asks, but its answers are lost
 	registrations registrations
 	isolatedUntil time.Time // the other daemons can't reach it
-	killed        bool
-	ctx           context.Context
-	cancel        context.CancelFunc
+	// serversCutUntil is the time until which it reaches no server.
+	serversCutUntil time.Time
+	killed          bool
+	ctx             context.Context
+	cancel          context.CancelFunc
 }
 
 // stop ends the daemon's goroutines.
@@ -446,6 +457,13 @@
 	d.keeper.stopAll()
 }
 
+// cutOffFromServers reports whether the daemon reaches no server now.
+func (d *simDaemon) cutOffFromServers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.serversCutUntil)
+}
+
 var errKilled = errors.New("the process has ended")
 
 // waitWhilePaused blocks while the process is paused, and fails when it was killed or
