soak: aim faults at the keeper, and make plans of maintenance only

Cause: one daemon of up to eight assigns the keys, so that few faults of a plan hit it; promises that hold while the store works, or during maintenance alone, were seldom put to the test. Change: three of ten faults of daemons hit the keeper of that moment; of four plans one has only maintenance and one no faults of the store.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylug/chicorylug/internal/follow"
+	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
@@ -139,6 +141,21 @@
 	return nil
 }
 
+// keeper returns the name of the daemon that the store records as the keeper. While it
+// records none, that is the first daemon.
+func (f *Fleet) keeper() string {
+	value, ok := f.store.Value("chicorylug", "owners/"+keyedService)
+	if !ok {
+		return f.daemons[0].name
+	}
+	owners, err := follow.DecodeOwners(platform.Record{Value: value})
+	if err != nil || f.daemon(string(owners.Keeper)) == nil {
+		f.monitor.Broken("owners", "", "the store's record of owners names no keeper: %v", err)
+		return f.daemons[0].name
+	}
+	return string(owners.Keeper)
+}
+
 func (f *Fleet) slot(name string) *serverSlot {
 	for _, s := range f.slots {
 		if s.name == name {
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -37,6 +37,8 @@
 	shortest, longest time.Duration
 	// planned faults are maintenance, during which no request may be aborted.
 	planned bool
+	// delaysGrants says that grants may still arrive shortly after the end of the fault.
+	delaysGrants bool
 	// begin injects the fault and returns a function that ends it.
 	begin func(f *Fleet, target string) (end func() error, err error)
 }
@@ -56,7 +58,7 @@
 	lostGrants      = 3
 )
 
-// kinds are all kinds of faults. NewPlan picks each of them equally often.
+// kinds are all kinds of faults.
 var kinds = map[Kind]kindInfo{}
 
 // kindNames are the names of all kinds in order, so that a seed always has the same plan.
@@ -80,13 +82,13 @@
 			return d.start, d.stop(signal)
 		}
 	}
-	kinds["term"] = kindInfo{classDaemon, brief, moderate, true, restart(syscall.SIGTERM)}
-	kinds["kill"] = kindInfo{classDaemon, brief, moderate, false, restart(syscall.SIGKILL)}
-	kinds["pause"] = kindInfo{classDaemon, brief, long, false, func(f *Fleet, target string) (func() error, error) {
+	kinds["term"] = kindInfo{classDaemon, brief, moderate, true, false, restart(syscall.SIGTERM)}
+	kinds["kill"] = kindInfo{classDaemon, brief, moderate, false, false, restart(syscall.SIGKILL)}
+	kinds["pause"] = kindInfo{classDaemon, brief, long, false, true, func(f *Fleet, target string) (func() error, error) {
 		d := f.daemon(target)
 		return func() error { return d.signal(syscall.SIGCONT) }, d.signal(syscall.SIGSTOP)
 	}}
-	kinds["hup"] = kindInfo{classDaemon, brief, brief, true, func(f *Fleet, target string) (func() error, error) {
+	kinds["hup"] = kindInfo{classDaemon, brief, brief, true, false, func(f *Fleet, target string) (func() error, error) {
 		return nothing, f.daemon(target).signal(syscall.SIGHUP)
 	}}
 }
@@ -96,7 +98,7 @@
 func addLinkKinds() {
 	for _, mode := range linkModes {
 		add := func(name string, class targetClass, link func(*Fleet, string) *Link) {
-			kinds[Kind(name+"-"+string(mode))] = kindInfo{class, brief, long, false, func(f *Fleet, target string) (func() error, error) {
+			kinds[Kind(name+"-"+string(mode))] = kindInfo{class, brief, long, false, true, func(f *Fleet, target string) (func() error, error) {
 				return link(f, target).impair(mode), nil
 			}}
 		}
@@ -121,12 +123,12 @@
 		"server-trickle":      func(s *fenced.Faults) { s.Flood = fenced.FloodTrickledBody },
 	}
 	for name, set := range faults {
-		kinds[name] = kindInfo{classServer, brief, long, false, func(f *Fleet, target string) (func() error, error) {
+		kinds[name] = kindInfo{classServer, brief, long, false, false, func(f *Fleet, target string) (func() error, error) {
 			return f.slot(target).impair(set), nil
 		}}
 	}
 	add := func(name Kind, planned bool, begin func(*serverSlot) (func() error, error)) {
-		kinds[name] = kindInfo{classServer, brief, long, planned, func(f *Fleet, target string) (func() error, error) {
+		kinds[name] = kindInfo{classServer, brief, long, planned, false, func(f *Fleet, target string) (func() error, error) {
 			return begin(f.slot(target))
 		}}
 	}
@@ -144,11 +146,11 @@
 		"store-no-history": func(s *platformd.Faults) { s.HistoryGone = true },
 	}
 	for name, set := range faults {
-		kinds[name] = kindInfo{classStore, brief, long, false, func(f *Fleet, _ string) (func() error, error) {
+		kinds[name] = kindInfo{classStore, brief, long, false, false, func(f *Fleet, _ string) (func() error, error) {
 			return f.impairStore(set), nil
 		}}
 	}
-	kinds["config"] = kindInfo{classConfig, brief, brief, true, func(f *Fleet, _ string) (func() error, error) {
+	kinds["config"] = kindInfo{classConfig, brief, brief, true, false, func(f *Fleet, _ string) (func() error, error) {
 		return nothing, f.configure()
 	}}
 }
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -30,9 +30,8 @@
 
 // interval is the time of one fault. to is zero while it lasts.
 type interval struct {
-	class    targetClass
+	kindInfo
 	target   string
-	planned  bool
 	from, to time.Time
 }
 
@@ -81,8 +80,7 @@
 func (m *Monitor) Begin(e Event) (end func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	info := kinds[e.Kind]
-	fault := &interval{class: info.class, target: e.Target, planned: info.planned, from: time.Now()}
+	fault := &interval{kindInfo: kinds[e.Kind], target: e.Target, from: time.Now()}
 	m.faults = append(m.faults, fault)
 	m.begun = append(m.begun, Mark{time.Since(m.started), e})
 	return func() {
@@ -181,7 +179,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, fault := range m.faults {
-		if (fault.class == classDaemon || fault.class == classServer) && !fault.to.IsZero() && time.Since(fault.to) <= thawSlack {
+		if fault.delaysGrants && !fault.to.IsZero() && time.Since(fault.to) <= thawSlack {
 			m.excused++
 			return
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,9 @@
 	return strings.TrimSpace(fmt.Sprintf("%v %v %s %s", e.At, e.For, e.Kind, e.Target))
 }
 
+// keeperTarget is the daemon that assigns keys to servers when the fault begins.
+const keeperTarget = "keeper"
+
 // Sizes of the fleets that NewPlan makes, and the time in which events begin.
 const (
 	minDaemons, maxDaemons = 5, 8
@@ -43,6 +46,8 @@
 	timeStep               = 10 * time.Millisecond // of the events of a plan
 	// seriesChance is the chance that an event hits the target of the one before.
 	seriesChance = 0.3
+	// keeperChance is the chance that a daemon's fault hits the keeper.
+	keeperChance = 0.3
 )
 
 // NewPlan returns the plan of a seed. The same seed always has the same plan.
@@ -53,24 +58,52 @@
 		Seed: seed, Daemons: between(minDaemons, maxDaemons),
 		Keyed: between(minServers, maxServers), Plain: between(minServers, maxServers),
 	}
+	names := profiles[rng.IntN(len(profiles))].kinds()
 	last := -1
 	for range between(minEvents, maxEvents) {
-		kind := kindNames[rng.IntN(len(kindNames))]
+		kind := names[rng.IntN(len(names))]
 		count := p.targets(kinds[kind].class)
 		if last < 0 || rng.Float64() >= seriesChance {
 			last = rng.IntN(count)
 		}
-		p.Events = append(p.Events, Event{
+		e := Event{
 			At:     randomDuration(rng, 0, faultSpan),
 			For:    randomDuration(rng, kinds[kind].shortest, kinds[kind].longest),
 			Kind:   kind,
 			Target: kinds[kind].class.target(last % count),
-		})
+		}
+		if kinds[kind].class == classDaemon && rng.Float64() < keeperChance {
+			e.Target = keeperTarget
+		}
+		p.Events = append(p.Events, e)
 	}
 	sort.SliceStable(p.Events, func(i, j int) bool { return p.Events[i].At < p.Events[j].At })
 	return p
 }
 
+// profile selects the kinds of faults of a plan.
+type profile func(kindInfo) bool
+
+// profiles are equally likely. Some promises hold only while the store works, or while
+// there is only maintenance.
+var profiles = []profile{
+	func(kindInfo) bool { return true },
+	func(kindInfo) bool { return true },
+	func(k kindInfo) bool { return k.class != classStore },
+	func(k kindInfo) bool { return k.planned },
+}
+
+// kinds returns the names of the kinds that a profile selects, in order.
+func (p profile) kinds() []Kind {
+	var names []Kind
+	for _, name := range kindNames {
+		if p(kinds[name]) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func randomDuration(rng *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(rng.Int64N(int64((longest-shortest)/timeStep)+1))*timeStep
 }
@@ -150,6 +183,9 @@
 
 func (p Plan) hasTarget(e Event) bool {
 	class := kinds[e.Kind].class
+	if class == classDaemon && e.Target == keeperTarget {
+		return true
+	}
 	for i := range p.targets(class) {
 		if class.target(i) == e.Target {
 			return true
--- a/soak/process.go
+++ b/soak/process.go
@@ -72,35 +72,15 @@
 
 func (d *daemonProc) settingsFile() string { return filepath.Join(d.dir, d.name+".json") }
 
-// writeSettings writes the settings of a fenced daemon, which has no admin and dispatch
-// addresses and so leaves these settings out.
+// writeSettings writes the daemon's settings file.
 func (d *daemonProc) writeSettings() error {
-	text, err := json.MarshalIndent(settingsOf(d.config), "", "  ")
+	text, err := json.MarshalIndent(d.config, "", "  ")
 	if err != nil {
 		return errors.Wrapf(err, "encode settings of %s", d.name)
 	}
 	return errors.Wrapf(os.WriteFile(d.settingsFile(), text, 0o600), "write settings of %s", d.name)
 }
 
-// fencedSettings are the settings that a fenced daemon has.
-type fencedSettings struct {
-	Name            model.DaemonID `json:"name"`
-	Zone            model.Zone     `json:"zone"`
-	CallerAddress   string         `json:"caller_address"`
-	ControlAddress  string         `json:"control_address"`
-	PlatformAddress string         `json:"platform_address"`
-	Seeds           []string       `json:"seeds,omitempty"`
-	LogLevel        string         `json:"log_level"`
-	Fenced          *config.Fenced `json:"fenced"`
-}
-
-func settingsOf(c config.Config) fencedSettings {
-	return fencedSettings{
-		Name: c.Name, Zone: c.Zone, CallerAddress: c.CallerAddress, ControlAddress: c.ControlAddress,
-		PlatformAddress: c.PlatformAddress, Seeds: c.Seeds, LogLevel: c.LogLevel, Fenced: c.Fenced,
-	}
-}
-
 // start starts a process unless one runs. Its log is appended to the daemon's log file.
 func (d *daemonProc) start() error {
 	d.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -96,6 +96,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
+	if e.Target == keeperTarget {
+		e.Target = f.keeper()
+	}
 	ended := f.monitor.Begin(e)
 	defer ended()
 	end, err := kinds[e.Kind].begin(f, e.Target)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,7 +79,7 @@
 	const fleet = "fleet seed=1 daemons=3 keyed=2 plain=2\n"
 	for _, text := range []string{
 		"", "1s 1s kill d0\n", fleet + "1s kill d0\n", fleet + "x 1s kill d0\n", fleet + "1s x kill d0\n",
-		fleet + "1s 1s explode d0\n", fleet + "1s 1s kill d3\n", fleet + "1s 1s store-down d0\n",
+		fleet + "1s 1s explode d0\n", fleet + "1s 1s kill d3\n", fleet + "1s 1s store-down d0\n", fleet + "1s 1s server-crash keeper\n",
 		"fleet seed=1 daemons=1000 keyed=2 plain=2\n",
 	} {
 		_, err := ReadPlan(strings.NewReader(text))
