cli: report counts requests by outcome in each second of log files

Change: chicorylug report LOGFILE... prints a table, or JSON, of the requests of each second by outcome, beside the warnings, starts and changes of that second. Conclusion: lines above the bound of their kind are not in the logs, so that the table shows how many are missing.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli implements the operators' command line tool chicorylug. Most commands call
-// one daemon's admin API; trace reads log files, experiment runs a fleet in its own
+// one daemon's admin API; trace and report read log files, experiment runs a fleet in its own
 // process and completion prints a script.
 package cli
 
@@ -145,6 +145,7 @@
 		{"drain", "Take a server out of service or back", "chicorylug drain drafts-3", &drainCommand{global: g}},
 		{"top", "Show live rates by pool, rank and server", "chicorylug top --once", &topCommand{global: g}},
 		{"trace", "Follow a request or a key through log files of several daemons", "chicorylug trace d1.log d2.log --request 9c41d07be2a35f68", &traceCommand{global: g}},
+		{"report", "Count requests by outcome in each second of log files, with faults", "chicorylug report d1.log d2.log", &reportCommand{global: g}},
 		{"completion", "Print a shell's completion script", "chicorylug completion bash > /etc/bash_completion.d/chicorylug", &completionCommand{global: g}},
 	})
 	if err != nil {
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -27,10 +27,10 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-// logLine is a decoded line of a daemon's log, with the fields that matches and print
-// use.
+// logLine is a decoded line of a daemon's log, with the fields that the commands use.
 type logLine struct {
 	At      time.Time `json:"ts"`
+	Level   string    `json:"level"`
 	Daemon  string    `json:"daemon"`
 	Logger  string    `json:"logger"`
 	Message string    `json:"msg"`
@@ -39,7 +39,10 @@
 	Key     *int      `json:"key"`
 	From    *int      `json:"from"`
 	To      *int      `json:"to"`
-	Moves   []string  `json:"what"` // see movesKey
+	Moves   []string  `json:"what"`       // see movesKey
+	Status  int       `json:"status"`     // of a request
+	Outcome string    `json:"outcome"`    // of a request that no server answered
+	Omitted int       `json:"over_bound"` // lines that were not written
 
 	text string
 }
@@ -51,7 +54,7 @@
 	}
 	var found []logLine
 	for _, file := range c.Args.Files {
-		lines, err := c.read(file)
+		lines, err := readLog(file, c.matches)
 		if err != nil {
 			return errors.Wrapf(err, "trace: read %s", file)
 		}
@@ -67,18 +70,18 @@
 	return nil
 }
 
-// read returns the matching lines of a file. It skips lines that are not lines of a
-// daemon's log; text before the first { of a line is ignored.
-func (c *traceCommand) read(file string) ([]logLine, error) {
+// readLog returns the lines of a log file that keep selects. It skips lines that are not
+// lines of a daemon's log; text before the first { of a line is ignored.
+func readLog(file string, keep func(*logLine) bool) ([]logLine, error) {
 	input, err := os.Open(file)
 	if err != nil {
 		return nil, err
 	}
 	defer input.Close()
-	return c.scan(input)
+	return scanLog(input, keep)
 }
 
-func (c *traceCommand) scan(input io.Reader) ([]logLine, error) {
+func scanLog(input io.Reader, keep func(*logLine) bool) ([]logLine, error) {
 	var found []logLine
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, maxLogLine)
@@ -88,7 +91,7 @@
 			continue
 		}
 		line := logLine{text: "{" + text}
-		if json.Unmarshal([]byte(line.text), &line) != nil || !c.matches(&line) {
+		if json.Unmarshal([]byte(line.text), &line) != nil || !keep(&line) {
 			continue
 		}
 		found = append(found, line)
