--- a/soak/callers.go
+++ b/soak/callers.go
@@ -21,7 +21,8 @@
 	callerCount   = 40
 	callerPause   = 60 * time.Millisecond // between two requests of a caller
 	callTimeout   = 3 * time.Second
-	deadlineMS    = 2000 // that requests state
+	minDeadline   = 300 * time.Millisecond // that requests state
+	maxDeadline   = 2 * time.Second
 	connectLimit  = time.Second
 	keyCount      = 65536
 	readShare     = 0.5
@@ -129,28 +130,29 @@
 // fill makes a request of a random kind and reports whether it may run at most once.
 func (c *caller) fill(req *fasthttp.Request, id string) (atMostOnce bool) {
 	filler := strings.Repeat("q", c.rng.IntN(maxQueryBytes))
+	deadline := randomDuration(c.rng, minDeadline, maxDeadline)
 	switch kind := c.rng.Float64(); {
 	case kind < readShare:
-		fillRequest(req, fasthttp.MethodGet, "/read/x?"+id+filler, id)
+		fillRequest(req, fasthttp.MethodGet, "/read/x?"+id+filler, id, deadline)
 		req.Header.Set(headerKey, strconv.Itoa(c.rng.IntN(keyCount)))
 		return false
 	case kind < readShare+sealShare:
-		fillRequest(req, fasthttp.MethodPost, "/seal/x?"+id+filler, id)
+		fillRequest(req, fasthttp.MethodPost, "/seal/x?"+id+filler, id, deadline)
 		req.SetBodyString("order")
 	default:
-		fillRequest(req, fasthttp.MethodPost, "/plan/x?"+id, id)
+		fillRequest(req, fasthttp.MethodPost, "/plan/x?"+id, id, deadline)
 		req.SetBodyString(strings.Repeat("p", c.rng.IntN(maxBodyBytes)))
 	}
 	return true
 }
 
-func fillRequest(req *fasthttp.Request, method, path, id string) {
+func fillRequest(req *fasthttp.Request, method, path, id string, deadline time.Duration) {
 	req.Header.SetMethod(method)
 	req.SetRequestURI(path)
 	req.UseHostHeader = true
 	req.Header.SetHost(routeHost)
 	req.Header.Set(headerAttemptID, id)
-	req.Header.Set(headerDeadline, strconv.Itoa(deadlineMS))
+	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 }
 
 // exchange sends a request on a connection and reads the answer. It sets the time of
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -238,7 +238,7 @@
 func probePrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
 // impairStore puts a fault of the store in force until the returned function is called.
-func (f *Fleet) impairStore(set func(*platformd.Faults)) (end func() error) {
+func (f *Fleet) impairStore(set func(*platformd.Faults)) (end endFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	number := f.storeFaults.add(set)
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -31,6 +31,12 @@
 	return fmt.Sprintf("%s%d", c, i)
 }
 
+// endFunc ends a fault.
+type endFunc func() error
+
+// beginFunc injects a fault into a target.
+type beginFunc func(f *Fleet, target string) (endFunc, error)
+
 // kindInfo says how a kind of fault is injected.
 type kindInfo struct {
 	class             targetClass
@@ -39,8 +45,7 @@
 	planned bool
 	// delaysGrants says that grants may still arrive shortly after the end of the fault.
 	delaysGrants bool
-	// begin injects the fault and returns a function that ends it.
-	begin func(f *Fleet, target string) (end func() error, err error)
+	begin        beginFunc
 }
 
 // Bounds of the durations of faults.
@@ -76,83 +81,96 @@
 }
 
 func addDaemonKinds() {
-	restart := func(signal syscall.Signal) func(*Fleet, string) (func() error, error) {
-		return func(f *Fleet, target string) (func() error, error) {
-			d := f.daemon(target)
-			return d.start, d.stop(signal)
-		}
-	}
-	kinds["term"] = kindInfo{classDaemon, brief, moderate, true, false, restart(syscall.SIGTERM)}
-	kinds["kill"] = kindInfo{classDaemon, brief, moderate, false, false, restart(syscall.SIGKILL)}
-	kinds["pause"] = kindInfo{classDaemon, brief, long, false, true, func(f *Fleet, target string) (func() error, error) {
+	kinds["term"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, planned: true, begin: restart(syscall.SIGTERM)}
+	kinds["kill"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, begin: restart(syscall.SIGKILL)}
+	kinds["pause"] = kindInfo{class: classDaemon, shortest: brief, longest: long, delaysGrants: true, begin: pause}
+	kinds["hup"] = kindInfo{class: classDaemon, shortest: brief, longest: brief, planned: true, begin: reload}
+}
+
+// restart stops a daemon by a signal and starts it again when the fault ends.
+func restart(signal syscall.Signal) beginFunc {
+	return func(f *Fleet, target string) (endFunc, error) {
 		d := f.daemon(target)
-		return func() error { return d.signal(syscall.SIGCONT) }, d.signal(syscall.SIGSTOP)
-	}}
-	kinds["hup"] = kindInfo{classDaemon, brief, brief, true, false, func(f *Fleet, target string) (func() error, error) {
-		return nothing, f.daemon(target).signal(syscall.SIGHUP)
-	}}
+		return d.start, d.stop(signal)
+	}
+}
+
+func pause(f *Fleet, target string) (endFunc, error) {
+	d := f.daemon(target)
+	resume := func() error { return d.signal(syscall.SIGCONT) }
+	return resume, d.signal(syscall.SIGSTOP)
+}
+
+func reload(f *Fleet, target string) (endFunc, error) {
+	return nothing, f.daemon(target).signal(syscall.SIGHUP)
 }
 
 // addLinkKinds adds the faults of the connections from a daemon to the store, from all
 // daemons to a server and from the callers to a daemon.
 func addLinkKinds() {
-	for _, mode := range linkModes {
-		add := func(name string, class targetClass, link func(*Fleet, string) *Link) {
-			kinds[Kind(name+"-"+string(mode))] = kindInfo{class, brief, long, false, true, func(f *Fleet, target string) (func() error, error) {
-				return link(f, target).impair(mode), nil
-			}}
+	add := func(name string, mode LinkMode, class targetClass, link func(*Fleet, string) *Link) {
+		kinds[Kind(name+"-"+string(mode))] = kindInfo{
+			class: class, shortest: brief, longest: long, delaysGrants: true,
+			begin: func(f *Fleet, target string) (endFunc, error) { return link(f, target).impair(mode), nil },
 		}
-		add("store-link", classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toStore })
-		add("caller-link", classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toCallers })
-		add("server-link", classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
 	}
+	for _, mode := range linkModes {
+		add("store-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toStore })
+		add("caller-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toCallers })
+		add("server-link", mode, classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
+	}
+}
+
+// serverFaults are the faults that a stand-in server has by itself.
+var serverFaults = map[Kind]func(*fenced.Faults){
+	"server-shed":         func(s *fenced.Faults) { s.ShedAll = true },
+	"server-hang-full":    func(s *fenced.Faults) { s.HangWhenFull, s.ExtraServiceTime = true, extraService },
+	"server-silent":       func(s *fenced.Faults) { s.Unresponsive = true },
+	"server-lose-answers": func(s *fenced.Faults) { s.ResetAfterRun = true },
+	"server-wrong-id":     func(s *fenced.Faults) { s.WrongAttemptID = true },
+	"server-unframed":     func(s *fenced.Faults) { s.Unframed = true },
+	"server-fail":         func(s *fenced.Faults) { s.FailAll = true },
+	"server-slow":         func(s *fenced.Faults) { s.ExtraServiceTime = extraService },
+	"server-lose-grants":  func(s *fenced.Faults) { s.DropGrantResponses = lostGrants },
+	"server-flood":        func(s *fenced.Faults) { s.Flood = fenced.FloodChunks },
+	"server-trickle":      func(s *fenced.Faults) { s.Flood = fenced.FloodTrickledBody },
 }
 
 func addServerKinds() {
-	faults := map[Kind]func(*fenced.Faults){
-		"server-shed":         func(s *fenced.Faults) { s.ShedAll = true },
-		"server-hang-full":    func(s *fenced.Faults) { s.HangWhenFull, s.ExtraServiceTime = true, extraService },
-		"server-silent":       func(s *fenced.Faults) { s.Unresponsive = true },
-		"server-lose-answers": func(s *fenced.Faults) { s.ResetAfterRun = true },
-		"server-wrong-id":     func(s *fenced.Faults) { s.WrongAttemptID = true },
-		"server-unframed":     func(s *fenced.Faults) { s.Unframed = true },
-		"server-fail":         func(s *fenced.Faults) { s.FailAll = true },
-		"server-slow":         func(s *fenced.Faults) { s.ExtraServiceTime = extraService },
-		"server-lose-grants":  func(s *fenced.Faults) { s.DropGrantResponses = lostGrants },
-		"server-flood":        func(s *fenced.Faults) { s.Flood = fenced.FloodChunks },
-		"server-trickle":      func(s *fenced.Faults) { s.Flood = fenced.FloodTrickledBody },
-	}
-	for name, set := range faults {
-		kinds[name] = kindInfo{classServer, brief, long, false, false, func(f *Fleet, target string) (func() error, error) {
-			return f.slot(target).impair(set), nil
-		}}
+	add := func(name Kind, planned bool, begin func(*serverSlot) (endFunc, error)) {
+		kinds[name] = kindInfo{
+			class: classServer, shortest: brief, longest: long, planned: planned,
+			begin: func(f *Fleet, target string) (endFunc, error) { return begin(f.slot(target)) },
+		}
 	}
-	add := func(name Kind, planned bool, begin func(*serverSlot) (func() error, error)) {
-		kinds[name] = kindInfo{classServer, brief, long, planned, false, func(f *Fleet, target string) (func() error, error) {
-			return begin(f.slot(target))
-		}}
+	for name, set := range serverFaults {
+		add(name, false, func(s *serverSlot) (endFunc, error) { return s.impair(set), nil })
 	}
 	add("server-crash", false, (*serverSlot).crash)
 	add("server-lapse", false, (*serverSlot).lapse)
-	add("server-drain", true, func(s *serverSlot) (func() error, error) { return s.replace(true) })
-	add("server-leave", true, func(s *serverSlot) (func() error, error) { return s.replace(false) })
+	add("server-drain", true, func(s *serverSlot) (endFunc, error) { return s.replace(true) })
+	add("server-leave", true, func(s *serverSlot) (endFunc, error) { return s.replace(false) })
+}
+
+// storeFaults are the faults that the stand-in store has by itself.
+var storeFaults = map[Kind]func(*platformd.Faults){
+	"store-down":       func(s *platformd.Faults) { s.Down, s.ListDown = true, true },
+	"store-slow":       func(s *platformd.Faults) { s.DelayMS = storeDelayMS },
+	"store-lose":       func(s *platformd.Faults) { s.DropWriteResponses = lostStoreWrites },
+	"store-no-history": func(s *platformd.Faults) { s.HistoryGone = true },
 }
 
 func addStoreKinds() {
-	faults := map[Kind]func(*platformd.Faults){
-		"store-down":       func(s *platformd.Faults) { s.Down, s.ListDown = true, true },
-		"store-slow":       func(s *platformd.Faults) { s.DelayMS = storeDelayMS },
-		"store-lose":       func(s *platformd.Faults) { s.DropWriteResponses = lostStoreWrites },
-		"store-no-history": func(s *platformd.Faults) { s.HistoryGone = true },
+	for name, set := range storeFaults {
+		kinds[name] = kindInfo{
+			class: classStore, shortest: brief, longest: long,
+			begin: func(f *Fleet, _ string) (endFunc, error) { return f.impairStore(set), nil },
+		}
 	}
-	for name, set := range faults {
-		kinds[name] = kindInfo{classStore, brief, long, false, false, func(f *Fleet, _ string) (func() error, error) {
-			return f.impairStore(set), nil
-		}}
+	kinds["config"] = kindInfo{
+		class: classConfig, shortest: brief, longest: brief, planned: true,
+		begin: func(f *Fleet, _ string) (endFunc, error) { return nothing, f.configure() },
 	}
-	kinds["config"] = kindInfo{classConfig, brief, brief, true, false, func(f *Fleet, _ string) (func() error, error) {
-		return nothing, f.configure()
-	}}
 }
 
 func nothing() error { return nil }
--- a/soak/link.go
+++ b/soak/link.go
@@ -92,7 +92,7 @@
 }
 
 // impair puts a fault in force until the returned function is called.
-func (l *Link) impair(mode LinkMode) (end func() error) {
+func (l *Link) impair(mode LinkMode) (end endFunc) {
 	l.addMode(mode, 1)
 	if mode == LinkReset {
 		l.resetAll()
--- a/soak/probes.go
+++ b/soak/probes.go
@@ -75,7 +75,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	o := Outcome{ID: fmt.Sprintf("%s-probe-%d", p.daemon.name, p.probes), Daemon: p.daemon.name, Incarnation: incarnation}
-	fillRequest(req, fasthttp.MethodGet, probePrefix(version), o.ID)
+	fillRequest(req, fasthttp.MethodGet, probePrefix(version), o.ID, maxDeadline)
 	if err := exchange(conn, reader, req, resp, &o); err != nil {
 		return false, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -175,7 +175,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	fillRequest(req, fasthttp.MethodGet, url, fmt.Sprintf("check-%d", time.Now().UnixNano()))
+	fillRequest(req, fasthttp.MethodGet, url, fmt.Sprintf("check-%d", time.Now().UnixNano()), maxDeadline)
 	if key >= 0 {
 		req.Header.Set(headerKey, fmt.Sprint(key))
 	}
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -96,7 +96,7 @@
 }
 
 // impair puts a fault of the servers of the slot in force until the returned function is called.
-func (s *serverSlot) impair(set func(*fenced.Faults)) (end func() error) {
+func (s *serverSlot) impair(set func(*fenced.Faults)) (end endFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	number := s.faults.add(set)
@@ -113,7 +113,7 @@
 }
 
 // crash ends the server. Another one starts at its address when the fault ends.
-func (s *serverSlot) crash() (end func() error, err error) {
+func (s *serverSlot) crash() (end endFunc, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lost := s.current
@@ -133,7 +133,7 @@
 }
 
 // lapse removes the server's registration until the fault ends.
-func (s *serverSlot) lapse() (end func() error, err error) {
+func (s *serverSlot) lapse() (end endFunc, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := s.current
@@ -153,7 +153,7 @@
 
 // replace starts another server in the slot. The former one leaves: it registers as
 // draining if announced, or else removes its registration, and ends after leavingTime.
-func (s *serverSlot) replace(announced bool) (end func() error, err error) {
+func (s *serverSlot) replace(announced bool) (end endFunc, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leaving := s.current
