--- /dev/null
+++ b/soak/kinds.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
+	"github.com/chicorylug/chicorylug/internal/standin/platformd"
+)
+
+// Kind names a kind of fault.
+type Kind string
+
+// targetClass is what a kind of fault affects.
+type targetClass string
+
+const (
+	classDaemon targetClass = "d"
+	classServer targetClass = "s"
+	classStore  targetClass = "store"
+	classConfig targetClass = "config"
+)
+
+// target returns the name of a target in the text form of a plan.
+func (c targetClass) target(i int) string {
+	if c == classStore || c == classConfig {
+		return ""
+	}
+	return fmt.Sprintf("%s%d", c, i)
+}
+
+// endFunc ends a fault.
+type endFunc func() error
+
+// beginFunc injects a fault into a target.
+type beginFunc func(f *Fleet, target string) (endFunc, error)
+
+// kindInfo says how a kind of fault is injected.
+type kindInfo struct {
+	class             targetClass
+	shortest, longest time.Duration
+	// planned faults are maintenance, during which no request may be aborted.
+	planned bool
+	// delaysGrants says that grants may still arrive shortly after the end of the fault.
+	delaysGrants bool
+	begin        beginFunc
+}
+
+// Bounds of the durations of faults.
+const (
+	brief    = 100 * time.Millisecond
+	moderate = 2 * time.Second
+	long     = 4 * time.Second
+)
+
+// Sizes of faults.
+const (
+	storeDelayMS    = 150
+	extraService    = 300 * time.Millisecond
+	lostStoreWrites = 4
+	lostGrants      = 3
+)
+
+// kinds are all kinds of faults.
+var kinds = map[Kind]kindInfo{}
+
+// kindNames are the names of all kinds in order, so that a seed always has the same plan.
+var kindNames []Kind
+
+func init() {
+	addDaemonKinds()
+	addLinkKinds()
+	addServerKinds()
+	addStoreKinds()
+	for name := range kinds {
+		kindNames = append(kindNames, name)
+	}
+	sort.Slice(kindNames, func(i, j int) bool { return kindNames[i] < kindNames[j] })
+}
+
+func addDaemonKinds() {
+	kinds["term"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, planned: true, begin: restart(syscall.SIGTERM)}
+	kinds["kill"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, begin: restart(syscall.SIGKILL)}
+	kinds["pause"] = kindInfo{class: classDaemon, shortest: brief, longest: long, delaysGrants: true, begin: pause}
+	kinds["hup"] = kindInfo{class: classDaemon, shortest: brief, longest: brief, planned: true, begin: reload}
+}
+
+// restart stops a daemon by a signal and starts it again when the fault ends.
+func restart(signal syscall.Signal) beginFunc {
+	return func(f *Fleet, target string) (endFunc, error) {
+		d := f.daemon(target)
+		return d.start, d.stop(signal)
+	}
+}
+
+func pause(f *Fleet, target string) (endFunc, error) {
+	d := f.daemon(target)
+	resume := func() error { return d.signal(syscall.SIGCONT) }
+	return resume, d.signal(syscall.SIGSTOP)
+}
+
+func reload(f *Fleet, target string) (endFunc, error) {
+	return nothing, f.daemon(target).signal(syscall.SIGHUP)
+}
+
+// addLinkKinds adds the faults of the connections from a daemon to the store, from all
+// daemons to a server and from the callers to a daemon.
+func addLinkKinds() {
+	add := func(name string, mode LinkMode, class targetClass, link func(*Fleet, string) *Link) {
+		kinds[Kind(name+"-"+string(mode))] = kindInfo{
+			class: class, shortest: brief, longest: long, delaysGrants: true,
+			begin: func(f *Fleet, target string) (endFunc, error) { return link(f, target).impair(mode), nil },
+		}
+	}
+	for _, mode := range linkModes {
+		add("store-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toStore })
+		add("caller-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toCallers })
+		add("server-link", mode, classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
+	}
+}
+
+// serverFaults are the faults that a stand-in server has by itself.
+var serverFaults = map[Kind]func(*fenced.Faults){
+	"server-shed":         func(s *fenced.Faults) { s.ShedAll = true },
+	"server-hang-full":    func(s *fenced.Faults) { s.HangWhenFull, s.ExtraServiceTime = true, extraService },
+	"server-silent":       func(s *fenced.Faults) { s.Unresponsive = true },
+	"server-lose-answers": func(s *fenced.Faults) { s.ResetAfterRun = true },
+	"server-wrong-id":     func(s *fenced.Faults) { s.WrongAttemptID = true },
+	"server-unframed":     func(s *fenced.Faults) { s.Unframed = true },
+	"server-fail":         func(s *fenced.Faults) { s.FailAll = true },
+	"server-slow":         func(s *fenced.Faults) { s.ExtraServiceTime = extraService },
+	"server-lose-grants":  func(s *fenced.Faults) { s.DropGrantResponses = lostGrants },
+	"server-flood":        func(s *fenced.Faults) { s.Flood = fenced.FloodChunks },
+	"server-trickle":      func(s *fenced.Faults) { s.Flood = fenced.FloodTrickledBody },
+}
+
+func addServerKinds() {
+	add := func(name Kind, planned bool, begin func(*serverSlot) (endFunc, error)) {
+		kinds[name] = kindInfo{
+			class: classServer, shortest: brief, longest: long, planned: planned,
+			begin: func(f *Fleet, target string) (endFunc, error) { return begin(f.slot(target)) },
+		}
+	}
+	for name, set := range serverFaults {
+		add(name, false, func(s *serverSlot) (endFunc, error) { return s.impair(set), nil })
+	}
+	add("server-crash", false, (*serverSlot).crash)
+	add("server-lapse", false, (*serverSlot).lapse)
+	add("server-drain", true, func(s *serverSlot) (endFunc, error) { return s.replace(true) })
+	add("server-leave", true, func(s *serverSlot) (endFunc, error) { return s.replace(false) })
+}
+
+// storeFaults are the faults that the stand-in store has by itself.
+var storeFaults = map[Kind]func(*platformd.Faults){
+	"store-down":       func(s *platformd.Faults) { s.Down, s.ListDown = true, true },
+	"store-slow":       func(s *platformd.Faults) { s.DelayMS = storeDelayMS },
+	"store-lose":       func(s *platformd.Faults) { s.DropWriteResponses = lostStoreWrites },
+	"store-no-history": func(s *platformd.Faults) { s.HistoryGone = true },
+}
+
+func addStoreKinds() {
+	for name, set := range storeFaults {
+		kinds[name] = kindInfo{
+			class: classStore, shortest: brief, longest: long,
+			begin: func(f *Fleet, _ string) (endFunc, error) { return f.impairStore(set), nil },
+		}
+	}
+	kinds["config"] = kindInfo{
+		class: classConfig, shortest: brief, longest: brief, planned: true,
+		begin: func(f *Fleet, _ string) (endFunc, error) { return nothing, f.configure() },
+	}
+}
+
+func nothing() error { return nil }
