soak: read the record of owners under the name of its era

Change: the soak takes the record of the latest era that has one, with its name.

The check of the soak is unchanged.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -144,11 +144,11 @@
 // keeper returns the name of the daemon that the store records as the keeper. While it
 // records none, that is the first daemon.
 func (f *Fleet) keeper() string {
-	value, ok := f.store.Value("chicorylug", "owners/"+keyedService)
+	record, ok := f.ownersRecord()
 	if !ok {
 		return f.daemons[0].name
 	}
-	owners, err := follow.DecodeOwners(platform.Record{Value: value})
+	owners, err := follow.DecodeOwners(record)
 	if err != nil || f.daemon(string(owners.Keeper)) == nil {
 		f.monitor.Broken("owners", "", "the store's record of owners names no keeper: %v", err)
 		return f.daemons[0].name
@@ -156,6 +156,17 @@
 	return string(owners.Keeper)
 }
 
+// ownersRecord returns the record of owners of the latest era of the store that has one.
+func (f *Fleet) ownersRecord() (platform.Record, bool) {
+	for era := platform.Era(f.store.Era()); era >= platform.FirstEra; era-- {
+		name := follow.OwnersRecordName(keyedService, era)
+		if value, ok := f.store.Value("chicorylug", name); ok {
+			return platform.Record{Name: name, Value: value}, true
+		}
+	}
+	return platform.Record{}, false
+}
+
 func (f *Fleet) slot(name string) *serverSlot {
 	for _, s := range f.slots {
 		if s.name == name {
