follow: a daemon whose record the store has lost registers again

What operators would see: a daemon stays missing in the store's list of daemons after a return to an older copy, while it writes and reads everything without end. Cause: its write still expects the revision of the lost record, which conflicts each time; each conflict leads to a read of the whole collection. Evidence: TestDaemonLostByTheStoreRegistersAgain failed before (never registered in a minute of virtual time). Why this works: a record of an earlier era than the copy's is gone, so that the write expects none; the check whether the record is still there compares eras of one copy.

--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -61,8 +61,9 @@
 		f.log.Error("daemon record could not be encoded, daemon not registered", zap.Error(err))
 		return
 	}
-	registered, ok := f.replicas[platform.Shared].get(platform.DaemonPrefix + string(f.config.Name))
-	if ok && registered.Era == f.StoreEra() && string(registered.Value) == string(value) {
+	shared := f.replicas[platform.Shared]
+	registered, ok := shared.get(platform.DaemonPrefix + string(f.config.Name))
+	if ok && registered.Era == shared.completeUpTo().Era && string(registered.Value) == string(value) {
 		return
 	}
 	f.log.Info("registering this daemon again", zap.Uint64("era", uint64(f.StoreEra())))
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,3 +205,52 @@
 		must.Eq(t, "next", publish(update{Position: era(2, 96), Records: []wireRecord{record(2, era(2, 96), "next")}}))
 	})
 }
+
+// eraStore is a store in era 2 that has lost this daemon's record.
+type eraStore struct {
+	puts, conflicts atomic.Int64
+	revision        atomic.Uint64
+	held            atomic.Uint64 // revision of the daemon's record, 0 while there is none
+}
+
+// Read implements platform.RecordStore.
+func (s *eraStore) Read(context.Context, platform.Collection) (platform.Page, error) {
+	return platform.Page{Position: era(2, platform.Revision(s.revision.Load()))}, nil
+}
+
+// Changes implements platform.RecordStore.
+func (s *eraStore) Changes(context.Context, platform.Collection, platform.Position, time.Duration) (platform.Page, error) {
+	return platform.Page{}, platform.ErrUnavailable
+}
+
+// Put implements platform.RecordStore.
+func (s *eraStore) Put(_ context.Context, _ platform.Collection, r platform.Record, expect platform.Revision) (platform.Position, error) {
+	s.puts.Add(1)
+	if uint64(expect) != s.held.Load() {
+		s.conflicts.Add(1)
+		return era(2, 0), platform.ErrConflict
+	}
+	s.held.Store(s.revision.Add(1))
+	return era(2, platform.Revision(s.held.Load())), nil
+}
+
+// A daemon whose record the store had lost went on expecting the lost record's revision. Each
+// try conflicted, and each conflict led to a read of everything, without end.
+func TestDaemonLostByTheStoreRegistersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		store := &eraStore{}
+		store.revision.Store(40)
+		r.follower.store = store
+		r.follower.catalog.PublishConfiguration(&catalog.Configuration{Version: 1})
+		value, err := json.Marshal(r.follower.Self())
+		must.NoError(t, err)
+		own := wireRecord{Name: platform.DaemonPrefix + "d1", Value: value, Position: era(1, 87)}
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(1, 90), Records: []wireRecord{own}})
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(2, 40)})
+		time.Sleep(time.Minute)
+		must.Positive(t, store.held.Load())
+		must.EqOp(t, 1, store.puts.Load())
+		must.Zero(t, store.conflicts.Load())
+	})
+}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -123,8 +123,8 @@
 	defer cancel()
 	name := platform.DaemonPrefix + string(f.config.Name)
 	expect := platform.Revision(0)
-	if registered, ok := f.replicas[platform.Shared].get(name); ok {
-		expect = registered.Revision
+	if registered, ok := f.replicas[platform.Shared].get(name); ok && registered.Era == f.replicas[platform.Shared].completeUpTo().Era {
+		expect = registered.Revision // one of an earlier era was lost by the store
 	}
 	record := platform.Record{Name: name, Value: value}
 	position, err := f.store.Put(ctx, platform.Shared, record, expect)
