follow: a daemon without memory takes the newest owners of any era

What callers would see: after a restart in the third era of the store or later, a daemon sends keyed requests to the owners of the first era. Cause: a record of an earlier era was used only while no other was known, in the order in which the records were read: the first one read is the oldest. Evidence: TestRestartedDaemonTakesTheNewestOwnersOfAnyEra failed before ("older"). Why this works: an earlier era's record gives way to one of a later era, whichever of them comes first.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -367,15 +367,17 @@
 }
 
 // applyOwners publishes the owners of a service from their record of an era. A record of
-// an earlier era than the store's is used only while no other is known: the store came
-// back with an older copy of it, or a keeper that has not heard of the new era wrote it.
+// an earlier era than the store's is used only if none of that era or a later one is
+// known: the store came back with an older copy of it, or a keeper that has not heard of
+// the new era wrote it.
 func (f *Follower) applyOwners(era platform.Era, record platform.Record) {
 	owners, err := DecodeOwners(record)
 	if err != nil {
 		f.log.Error("owners record could not be decoded", zap.String("record", record.Name), zap.Error(err))
 		return
 	}
-	if era < record.Era && f.catalog.Load().Owners[owners.Service] != nil {
+	held := f.catalog.Load().Owners[owners.Service]
+	if held != nil && era < record.Era && era <= held.Era {
 		f.log.Info("owners record of an earlier era ignored", zap.String("record", record.Name),
 			zap.Uint64("revision", uint64(owners.Revision)), zap.Uint64("era", uint64(record.Era)))
 		return
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -254,3 +254,21 @@
 		must.Zero(t, store.conflicts.Load())
 	})
 }
+
+// From the third era on, a daemon without memory took the owners of the first era, which
+// nobody writes any more, instead of the newest ones that the store has.
+func TestRestartedDaemonTakesTheNewestOwnersOfAnyEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		record := func(e platform.Era, position platform.Position, keeper model.DaemonID) wireRecord {
+			value, err := EncodeOwners(&catalog.Owners{Service: "drafts", Keeper: keeper})
+			must.NoError(t, err)
+			return wireRecord{Name: OwnersRecordName("drafts", e), Value: value, Position: position}
+		}
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(3, 90), Records: []wireRecord{
+			record(1, era(3, 10), "older"), record(2, era(3, 80), "newest"),
+		}})
+		synctest.Wait()
+		must.Eq(t, "newest", r.follower.catalog.Load().Owners["drafts"].Keeper)
+	})
+}
