follow: that a server leaves counts, whatever its report says of its age

What callers would see: after a return to an older copy a leaving server goes on getting requests (DRAIN), if its registration has no readable start or sequence. Cause: of two registrations that state no order, the known one was kept. Evidence: TestLeavingIsNewsWithoutASequence failed before. Why this works: a process that says it leaves does not come back, so that this report is news in any order; a server that is known to leave stays so.

--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -70,13 +70,17 @@
 	f.register(ctx)
 }
 
-// outdated reports whether a registration is not newer than what is known of the server.
+// outdated reports whether a registration is not newer than what is known of the server. That
+// a process leaves is always news.
 func (f *Follower) outdated(server *catalog.Server) bool {
 	known := f.servers[server.ID]
 	if known == nil && f.departed[server.ID] != nil {
 		known = f.departed[server.ID].server
 	}
-	return known != nil && !server.NewerThan(known)
+	if known == nil || server.NewerThan(known) {
+		return false
+	}
+	return !server.Leaving || known.Leaving || !server.SameProcess(known)
 }
 
 // keepKnownServer leaves a server as it is known, and gone if it has left, although the
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -272,3 +272,13 @@
 		must.Eq(t, "newest", r.follower.catalog.Load().Owners["drafts"].Keeper)
 	})
 }
+
+// A registration without a readable sequence says that its server leaves: it must count.
+func TestLeavingIsNewsWithoutASequence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 5}))
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Leaving: true}))
+		must.True(t, r.server("s1").Leaving)
+	})
+}
