follow, config: registrations settle as slowly as servers report

What callers would see: after a return to an older copy, requests go to a server that had left (DRAIN), where servers report less often than once a second. Cause: a registration that the store kept for 3 s counted as that of a live server, but the store removes it only after three reports are missing. Evidence: TestDepartedServerStaysGoneForAsLongAsReportsMayBeMissing can't be built before (the time was a constant of 3 s); with reports each 1.5 s it expects the server to stay gone for 4.9 s. Why this works: the platform's settings name the period; the new setting fenced.report_seconds (1 s if left out) takes it, and registrations settle after three of them and one second.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -75,6 +76,14 @@
 	// MaxHoldSeconds bounds the time for which a server may own keys without
 	// renewal of its grant. It defaults to DefaultMaxHoldSeconds.
 	MaxHoldSeconds float64 `json:"max_hold_seconds"`
+	// ReportSeconds is the time between two reports of a server to the store. It defaults
+	// to DefaultReportSeconds.
+	ReportSeconds float64 `json:"report_seconds"`
+}
+
+// ReportPeriod returns ReportSeconds as a duration.
+func (f *Fenced) ReportPeriod() time.Duration {
+	return time.Duration(f.ReportSeconds * float64(time.Second))
 }
 
 // MemoryBytes returns MemoryMB in bytes.
@@ -112,6 +121,7 @@
 	DefaultRepeatShare     = 0.1 // of Fenced.RepeatShare
 	DefaultRepeatExtra     = 100 // of Fenced.RepeatExtra
 	DefaultMaxHoldSeconds  = 10  // of Fenced.MaxHoldSeconds
+	DefaultReportSeconds   = 1   // of Fenced.ReportSeconds
 )
 
 // minGraceSeconds is the shortest grace period in which requests in progress can end
@@ -157,6 +167,7 @@
 		RepeatShare:    DefaultRepeatShare,
 		RepeatExtra:    DefaultRepeatExtra,
 		MaxHoldSeconds: DefaultMaxHoldSeconds,
+		ReportSeconds:  DefaultReportSeconds,
 	}
 	return doc.Decode(c)
 }
@@ -325,6 +336,9 @@
 	if f.MaxHoldSeconds <= 0 {
 		report("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
 	}
+	if f.ReportSeconds < 0 {
+		report("fenced.report_seconds", "found %v, want 0 or more", f.ReportSeconds)
+	}
 }
 
 func (c *Config) checkFiles(report func(path, format string, args ...any)) {
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -20,9 +20,11 @@
 	// missingRegistrationGrace is the time for which a server stays in the catalog that
 	// the copy does not list.
 	missingRegistrationGrace = 2 * time.Second
-	// registrationSettleTime is the time after which a registration is not a leftover of
-	// the copy: it exceeds the silence after which the store removes one.
-	registrationSettleTime = 3 * time.Second
+	// silentReports is the number of reports that a server may leave out before the store
+	// removes its registration.
+	silentReports = 3
+	// settleMargin is added to the time of these reports, for reading the removal.
+	settleMargin = time.Second
 	// departedMemory is the time for which a server that has left is remembered: an
 	// older copy may list it again.
 	departedMemory = time.Minute
@@ -30,6 +32,12 @@
 	registerAgainJitter = time.Second
 )
 
+// registrationSettleTime returns the time after which a registration that has not changed
+// is not a leftover of the copy: the store removes those of silent servers sooner.
+func (f *Follower) registrationSettleTime() time.Duration {
+	return silentReports*f.config.Fenced.ReportPeriod() + settleMargin
+}
+
 // departedServer is a server that was removed from the catalog.
 type departedServer struct {
 	server *catalog.Server
@@ -39,7 +47,7 @@
 // beginEra is called when the copy of a collection enters an era of the store.
 func (f *Follower) beginEra(c platform.Collection, previous, position platform.Position) {
 	if c == platform.Servers && position.Era > platform.FirstEra {
-		settleAt := time.Now().Add(registrationSettleTime)
+		settleAt := time.Now().Add(f.registrationSettleTime())
 		f.registrationsSettleAt.Store(&settleAt)
 	}
 	if previous.IsZero() {
@@ -94,7 +102,7 @@
 	}
 	f.log.Info("outdated registration ignored", zap.String("server", record.Name), zap.Uint64("revision", uint64(record.Revision)),
 		zap.Uint64("era", uint64(record.Era)), zap.Bool("leaving", known != nil && known.Leaving), zap.Bool("departed", known == nil))
-	f.recheckRegistration(server.ID, record, registrationSettleTime, func() {
+	f.recheckRegistration(server.ID, record, f.registrationSettleTime(), func() {
 		f.setServer(server, record)
 		f.publishServers()
 	})
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -130,7 +130,7 @@
 		r.apply(update{Position: era(1, 9), Records: []wireRecord{{Name: "s1", Position: era(1, 9), Deleted: true}}})
 		r.pass(deregisteredGrace + time.Second)
 		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12}))
-		r.pass(registrationSettleTime + time.Second)
+		r.pass(r.follower.registrationSettleTime() + time.Second)
 		must.NotNil(t, r.server("s1"))
 		must.False(t, r.server("s1").Leaving)
 	})
@@ -178,7 +178,7 @@
 		r.follower.serversReadAt = time.Now().Add(time.Hour) // the store need not be read again
 		_, _, err = r.follower.ReadRegistration(context.Background(), "s1")
 		must.Error(t, err)
-		r.pass(registrationSettleTime + time.Second)
+		r.pass(r.follower.registrationSettleTime() + time.Second)
 		_, _, err = r.follower.ReadRegistration(context.Background(), "s1")
 		must.NoError(t, err)
 	})
@@ -273,6 +273,22 @@
 	})
 }
 
+// Where servers report rarely, the store removes a departed server's registration later: it
+// must not count before that.
+func TestDepartedServerStaysGoneForAsLongAsReportsMayBeMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reportSeconds = 1.5
+		r := newRegistry(t)
+		r.follower.config.Fenced.ReportSeconds = reportSeconds
+		r.read(era(1, 8), at(era(1, 8), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+		r.apply(update{Position: era(1, 9), Records: []wireRecord{{Name: "s1", Position: era(1, 9), Deleted: true}}})
+		r.pass(deregisteredGrace + time.Second)
+		r.read(era(2, 4), at(era(2, 4), "s1", catalog.Server{StartedMS: 5, Sequence: 12}))
+		r.pass(3*r.follower.config.Fenced.ReportPeriod() + 400*time.Millisecond)
+		must.Nil(t, r.server("s1"))
+	})
+}
+
 // A registration without a readable sequence says that its server leaves: it must count.
 func TestLeavingIsNewsWithoutASequence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
