follow: a registration is judged by a copy as of the end of its wait

Cause: whether a missing or outdated registration had stayed so was judged when the copy was at most as old as the wait itself. A copy of just before the server wrote again passes that, so that a server that lives could be dropped up to one wait too early, and one that had left could come back. Change: the wait ends with the first copy that is current as of its end. Result: no test of its own yet; TestLapsedServerIsUsedAgainAfterARestore and the others of restored_test.go pass.

--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -28,6 +28,9 @@
 	// departedMemory is the time for which a server that has left is remembered: an
 	// older copy may list it again.
 	departedMemory = time.Minute
+	// recheckDelay is the pause before a registration is looked at again while the copy
+	// is not current enough.
+	recheckDelay = 200 * time.Millisecond
 	// registerAgainJitter spreads the writes of the daemons that register again.
 	registerAgainJitter = time.Second
 )
@@ -118,22 +121,27 @@
 	})
 }
 
-// recheckRegistration runs then on the control goroutine after a time, if the record of the
-// server has not changed until then. While the store does not answer, nothing can change:
-// the wait begins anew.
+// recheckRegistration runs then on the control goroutine once the copy is current as of a
+// time after now, if the record of the server has not changed until then.
 func (f *Follower) recheckRegistration(id model.ServerID, record platform.Record, after time.Duration, then func()) {
-	time.AfterFunc(after, func() {
-		f.loop.Post(func() {
-			current, known := f.replicas[platform.Servers].record(string(id))
-			switch {
-			case !known || current.Position != record.Position:
-			case f.CopyAge() > after:
-				f.recheckRegistration(id, record, after, then)
-			default:
-				then()
-			}
-		})
-	})
+	asOf := time.Now().Add(after)
+	var recheck func()
+	recheck = func() {
+		current, known := f.replicas[platform.Servers].record(string(id))
+		switch {
+		case !known || current.Position != record.Position:
+		case time.Now().Add(-f.CopyAge()).Before(asOf):
+			f.afterOnLoop(recheckDelay, recheck)
+		default:
+			then()
+		}
+	}
+	f.afterOnLoop(after, recheck)
+}
+
+// afterOnLoop runs a function on the control goroutine after a time.
+func (f *Follower) afterOnLoop(after time.Duration, run func()) {
+	time.AfterFunc(after, func() { f.loop.Post(run) })
 }
 
 // rememberDeparted remembers a server that was removed from the catalog, and forgets those
