follow: registrations are in doubt before the older copy can be read

Cause: the copy of the registrations was replaced first and put in doubt afterwards, so that a keeper that looked in between could take the older copy for a proof that a server's process had ended, and move its keys early. Change: the doubt is stored before the copy. Result: no test of its own yet: the order is that of two lines of one goroutine.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -278,6 +278,9 @@
 
 // applyUpdate applies an update to the copy of a collection and publishes the changes.
 func (f *Follower) applyUpdate(c platform.Collection, u update) {
+	if c == platform.Servers && u.Era > max(f.replicas[c].completeUpTo().Era, platform.FirstEra) {
+		f.doubtRegistrations()
+	}
 	result := f.replicas[c].apply(u)
 	if result.newEra {
 		f.beginEra(c, result.previous, u.Position)
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -41,6 +41,12 @@
 	return silentReports*f.config.Fenced.ReportPeriod() + settleMargin
 }
 
+// doubtRegistrations makes registrations count as possibly outdated until they have settled.
+func (f *Follower) doubtRegistrations() {
+	settleAt := time.Now().Add(f.registrationSettleTime())
+	f.registrationsSettleAt.Store(&settleAt)
+}
+
 // departedServer is a server that was removed from the catalog.
 type departedServer struct {
 	server *catalog.Server
@@ -49,10 +55,6 @@
 
 // beginEra is called when the copy of a collection enters an era of the store.
 func (f *Follower) beginEra(c platform.Collection, previous, position platform.Position) {
-	if c == platform.Servers && position.Era > platform.FirstEra {
-		settleAt := time.Now().Add(f.registrationSettleTime())
-		f.registrationsSettleAt.Store(&settleAt)
-	}
 	if previous.IsZero() {
 		return
 	}
