follow, keeper: the era is the newest of any collection, and none before the first answer

Cause: the era was that of the shared records alone; a daemon that had heard of a new era from the registrations of servers went on as in the one before until its next poll of the shared records. Before the first answer it was 0, with which a first assignment could be written. Change: the newest era of all collections counts; no first assignment before an answer.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -271,9 +271,14 @@
 	return nil
 }
 
-// StoreEra returns the newest era of the store that this daemon has heard of.
+// StoreEra returns the newest era of the store that this daemon has heard of, 0 before the
+// first answer.
 func (f *Follower) StoreEra() platform.Era {
-	return f.replicas[platform.Shared].completeUpTo().Era
+	newest := platform.Era(0)
+	for _, r := range f.replicas {
+		newest = max(newest, r.completeUpTo().Era)
+	}
+	return newest
 }
 
 // applyUpdate applies an update to the copy of a collection and publishes the changes.
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -258,6 +258,9 @@
 // assignFirst becomes the keeper of a service without an owners record, with the given
 // ranges. After the first era the store may have lost a record that gave keys to others.
 func (k *Keeper) assignFirst(ctx context.Context, service model.PoolName, ranges []catalog.Range) {
+	if k.follow.StoreEra() == 0 {
+		return // the store has not answered yet
+	}
 	first := &catalog.Owners{Service: service, Term: 1, Ranges: ranges, Position: platform.Position{Era: k.follow.StoreEra()}}
 	for i := range ranges {
 		ranges[i].Fence = nextFence(first.Position)
