follow: builds that know no eras get no records of a later one

Cause: in a rolling restart over a restored store a daemon of an earlier build polls one of this build, takes the revisions of the later era for its own, and ignores or replaces records at random. Change: from the second era on, a poll without eras gets no records; that daemon reads the store itself, which it does when polls bring nothing. Result: tests of follow pass; no test of its own yet.

--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -181,6 +181,9 @@
 		if held.IsZero() {
 			continue
 		}
+		if held.Era > platform.FirstEra && len(request.Eras) == 0 {
+			continue // a build that knows no eras would take the revisions for its own
+		}
 		u := f.replicas[c].since(request.position(c))
 		if u.Full || len(u.Records) > 0 {
 			response.Updates[c] = u
