keeper: a request to step down of an earlier era does not replace a later one

What callers would see: two daemons grant keys of one service (OWNER): a daemon that had stepped down for a keeper of a later era becomes keeper by the late answer to a write of its own, because a request of an earlier era with a higher term took the place of the remembered one. Cause: the era and the term of requests were compared one beside the other. Evidence: TestYieldOfAnEarlierEraDoesNotReplaceALaterOne failed before. TestFencesRiseOverEras is added beside it; it passes before as well. Why this works: era first, then term, as everywhere else.

--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -42,11 +42,12 @@
 // laterThan reports whether the request is of a later term than the owners record; nil is
 // of none.
 func (r *yieldRequest) laterThan(owners *catalog.Owners) bool {
-	if r == nil {
-		return false
-	}
-	requested := catalog.Owners{Position: platform.Position{Era: max(r.Era, platform.FirstEra)}, Term: r.Term}
-	return requested.LaterTermThan(owners)
+	return r != nil && r.asOwners().LaterTermThan(owners)
+}
+
+// asOwners returns owners of the era and the term of the sender.
+func (r *yieldRequest) asOwners() *catalog.Owners {
+	return &catalog.Owners{Position: platform.Position{Era: max(r.Era, platform.FirstEra)}, Term: r.Term}
 }
 
 type yieldResponse struct{}
@@ -219,7 +220,7 @@
 		return nil, errors.Errorf("keeper of service %s does not step down: term %d is not later than its own", r.Service, r.Term)
 	}
 	delete(k.serviceKeepers, r.Service)
-	if yielded := k.yielded[r.Service]; yielded == nil || yielded.Era < r.Era || yielded.Term < r.Term {
+	if k.yielded[r.Service] == nil || r.laterThan(k.yielded[r.Service].asOwners()) {
 		k.yielded[r.Service] = r
 	}
 	k.mu.Unlock()
