keeper: the time without the store counts from the last answer

What callers would see: two servers hold the same keys (OWNER): a keeper that is cut off renews for some seconds longer than the keeper after it waits. Cause: the time for which a keeper renews without the store counted from when its last answer had become old (maxStoreAge), not from the answer. Evidence: TestUncertainKeeperOutwaitsOneThatIsCutOff failed before (two owners). Why this works: both times count from the same moment, the store's answer, and the later keeper's is longer by the lifetime of a grant.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -28,9 +28,7 @@
 			return
 		}
 		now := time.Now()
-		if s.keeper.follow.StoreAge() < maxStoreAge {
-			s.storeSeenAt = now
-		}
+		s.storeSeenAt = later(s.storeSeenAt, now.Add(-s.keeper.follow.StoreAge()))
 		if owners := s.keeper.catalog.Load().Owners[s.service]; owners != nil && s.supersededBy(owners) {
 			s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(owners.Term)))
 			return
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -1,15 +1,86 @@
 package keeper
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
+// modelRewriteTime is the time after which servers register again in a restored store.
+const modelRewriteTime = time.Second
+
+// startHistory starts the servers and two daemons, and waits until the keys have owners.
+func startHistory() *history {
+	sim := newSimulation()
+	h := &history{simulation: sim, servers: make([]*process, modelServers), log: sim.logger()}
+	for i := range h.servers {
+		id := fmt.Sprintf("server-%d", i)
+		h.startServer(i, id, id)
+	}
+	for index := range 2 {
+		h.startDaemon(index)
+	}
+	time.Sleep(4 * time.Second)
+	return h
+}
+
+// finish lets the fleet run on, stops it and fails the test if keys had two owners or
+// falling fences.
+func (h *history) finish(t *testing.T) {
+	time.Sleep(modelRecoveryTime)
+	for _, d := range h.daemons {
+		d.stop()
+	}
+	time.Sleep(modelQuiesceTime)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	must.SliceEmpty(t, h.violations, must.Sprint(h.logged.String()))
+}
+
+// cutOff cuts a daemon off from the store and the other daemons for a time.
+func (d *simDaemon) cutOff(duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeCutUntil = time.Now().Add(duration)
+	d.isolatedUntil = d.storeCutUntil
+}
+
+// A keeper without the store stopped some seconds later than its successor waited, since
+// it counted from when its last answer had become old instead of from the answer.
+func TestUncertainKeeperOutwaitsOneThatIsCutOff(t *testing.T) {
+	for _, outage := range []time.Duration{0, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			h := startHistory()
+			for range 4 {
+				h.report(&backends.KeyedStats{Keys: map[int]int{2000: 900, 4000: 900, 6000: 900, 9000: 400}})
+				time.Sleep(500 * time.Millisecond)
+			}
+			k := h.daemons[h.keeperIndex()]
+			k.cutOff(40 * time.Second)
+			h.mu.Lock()
+			h.storeDownUntil = time.Now().Add(outage)
+			h.mu.Unlock()
+			time.Sleep(outage)
+			h.restore(2500*time.Millisecond+outage, modelRewriteTime)
+			for i, d := range h.daemons {
+				if d != k {
+					h.restartDaemon(i) // its successor knows only the copy
+				}
+			}
+			time.Sleep(modelRecoveryTime)
+			h.finish(t)
+		})
+	}
+}
+
 // A daemon that had stepped down for a keeper of a later era must not become keeper by the
 // late answer to a write of an earlier one, whatever it has stepped down for in between.
 func TestYieldOfAnEarlierEraDoesNotReplaceALaterOne(t *testing.T) {
