keeper: a keeper that was replaced does not write its record again in a new era

What callers would see: two servers hold the same keys, or a server sees a falling fence (OWNER): a keeper that was cut off from the store and the other daemons did not hear that another had replaced it and moved keys. The store lost that, and the first keeper wrote its own record in the new era as if it were the latest. Cause: a running keeper took for granted that no other had been appointed since its own record. Evidence: TestReplacedKeeperDoesNotWriteItsRecordAgain failed before (two owners). Why this works: before it writes in a new era, a keeper asks the other daemons that follow the store which keeper they know last. One that knows a later one makes it step down; until one has answered it renews what it has granted and moves nothing. The answer to a request to step down states what is known, as optional fields.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -96,7 +96,7 @@
 	// queryStatus asks another daemon whether it is the keeper of a service.
 	queryStatus func(context.Context, follow.Daemon, model.PoolName) (*statusResponse, error)
 	// yield asks another daemon to step down as the keeper of a service.
-	yield func(context.Context, follow.Daemon, *yieldRequest) error
+	yield func(context.Context, follow.Daemon, *yieldRequest) (*yieldResponse, error)
 
 	mu             sync.Mutex
 	serviceKeepers map[model.PoolName]*serviceKeeper // of the services that this daemon is the keeper of
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -50,7 +50,13 @@
 	return &catalog.Owners{Position: platform.Position{Era: max(r.Era, platform.FirstEra)}, Term: r.Term}
 }
 
-type yieldResponse struct{}
+// yieldResponse confirms that a daemon is not the keeper of a service, nor becomes it by an
+// earlier write. Era and Term are those of the latest owners record that it knows, if any;
+// builds that know no eras leave them out.
+type yieldResponse struct {
+	Era  platform.Era `json:"era,omitempty"`
+	Term model.Term   `json:"term,omitempty"`
+}
 
 // watchedKeeper is what this daemon has observed of the keeper of a service since the
 // owners record last changed.
@@ -193,7 +199,7 @@
 func (k *Keeper) requestYield(ctx context.Context, d follow.Daemon, r *yieldRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
 	defer cancel()
-	err := k.yield(ctx, d, r)
+	_, err := k.yield(ctx, d, r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return true // its process has ended
 	}
@@ -204,9 +210,8 @@
 	return true
 }
 
-func (k *Keeper) yieldDaemon(ctx context.Context, d follow.Daemon, r *yieldRequest) error {
-	_, err := rpc.Call[yieldResponse](ctx, k.client, d.Control, methodYield, r)
-	return err
+func (k *Keeper) yieldDaemon(ctx context.Context, d follow.Daemon, r *yieldRequest) (*yieldResponse, error) {
+	return rpc.Call[yieldResponse](ctx, k.client, d.Control, methodYield, r)
 }
 
 // serveYield steps down as keeper of a service when a daemon with a later term asks for
@@ -228,7 +233,11 @@
 		s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(r.Term)))
 		s.stop()
 	}
-	return &yieldResponse{}, nil
+	response := &yieldResponse{}
+	if owners := k.catalog.Load().Owners[r.Service]; owners != nil {
+		response.Era, response.Term = owners.Era, owners.Term
+	}
+	return response, nil
 }
 
 // assignInitially becomes the keeper of a service that has no owners record yet, and
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -11,6 +11,7 @@
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/rpc"
 )
 
 // When the store comes back from an older copy, it has lost the latest owners records. A
@@ -24,6 +25,16 @@
 // yieldRetryDelay is the pause before daemons that did not confirm are asked again.
 const yieldRetryDelay = time.Second
 
+// knowledge is what a keeper finds out about its owners record after the store came back.
+type knowledge int
+
+// Values of knowledge.
+const (
+	unconfirmed  knowledge = iota // no daemon that follows the store has answered
+	isLatest                      // no daemon knows a later record
+	isSuperseded                  // another daemon was the keeper last
+)
+
 // settleRecord brings the owners record up to date with the store's era and with what is
 // known of earlier grants. It reports whether keys may move.
 func (s *serviceKeeper) settleRecord(now time.Time) bool {
@@ -39,13 +50,82 @@
 		s.stepDown("the store came back from an older copy more than once", zap.Uint64("era", uint64(era)), zap.Uint64("earlier_era", uint64(owners.Era)))
 		return false
 	case owners.Era < era:
-		return s.rewrite(platform.Position{Era: era})
+		return s.enterEra(era)
 	case owners.Uncertain && !waiting:
 		return s.rewrite(owners.Position)
 	}
 	return true
 }
 
+// enterEra writes this keeper's record in a new era of the store, unless another daemon
+// became the keeper in the last one and the store has lost the record of that. This keeper
+// may not have heard of it while it had no contact to the store and the other daemons.
+func (s *serviceKeeper) enterEra(era platform.Era) bool {
+	switch s.compareWithOthers() {
+	case isSuperseded:
+		s.stepDown("another daemon became the keeper before the store came back from an older copy", zap.Uint64("era", uint64(era)))
+		return false
+	case unconfirmed:
+		s.log.Info("no daemon has confirmed yet that this one is the latest keeper", zap.Uint64("era", uint64(era)))
+		s.resumeGrants(nil)
+		return false
+	}
+	return s.rewrite(platform.Position{Era: era})
+}
+
+// compareWithOthers asks the other daemons that follow the store whether they are, or know
+// of, a later keeper of the service. One answer is enough if none contradicts: changes
+// reach all of these daemons at once. A daemon on its own has nobody to ask.
+func (s *serviceKeeper) compareWithOthers() knowledge {
+	s.mu.Lock()
+	own := &catalog.Owners{Position: s.owners.Position, Term: s.owners.Term}
+	s.mu.Unlock()
+	request := &yieldRequest{Service: s.service, Term: own.Term, Era: own.Era}
+	others := s.keeper.otherFollowers()
+	results := make(chan knowledge, len(others))
+	for _, d := range others {
+		go func() { results <- s.compareWith(d, request, own) }()
+	}
+	found := unconfirmed
+	if len(others) == 0 {
+		found = isLatest
+	}
+	for range others {
+		found = max(found, <-results)
+	}
+	return found
+}
+
+// compareWith asks one daemon. A refusal comes from a keeper of the same or a later term.
+func (s *serviceKeeper) compareWith(d follow.Daemon, r *yieldRequest, own *catalog.Owners) knowledge {
+	ctx, cancel := context.WithTimeout(s.ctx, yieldTimeout)
+	defer cancel()
+	response, err := s.keeper.yield(ctx, d, r)
+	var refused *rpc.RemoteError
+	switch {
+	case errors.As(err, &refused):
+		return isSuperseded
+	case err != nil || response.Era == 0:
+		return unconfirmed // a daemon that has just started knows of no record
+	}
+	known := &catalog.Owners{Position: platform.Position{Era: response.Era}, Term: response.Term}
+	if known.LaterTermThan(own) {
+		return isSuperseded
+	}
+	return isLatest
+}
+
+// otherFollowers returns the other daemons that follow the store.
+func (k *Keeper) otherFollowers() []follow.Daemon {
+	var others []follow.Daemon
+	for _, d := range k.follow.DesignatedFollowers() {
+		if d.Name != k.config.Name {
+			others = append(others, d)
+		}
+	}
+	return others
+}
+
 // rewrite writes the owners as this keeper knows them over the record at a position; a
 // revision of 0 means that the era has no record yet. If another daemon has written one, it
 // is the keeper now. It reports whether the write succeeded.
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -53,6 +53,36 @@
 	d.isolatedUntil = d.storeCutUntil
 }
 
+// A keeper that was cut off did not hear that another one had replaced it and moved keys.
+// The store then lost both, and the first keeper wrote its own record again, as if it knew
+// the latest one.
+func TestReplacedKeeperDoesNotWriteItsRecordAgain(t *testing.T) {
+	for _, copyAge := range []time.Duration{9 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			const healAt = 8 * time.Second
+			h := startHistory()
+			k := h.daemons[h.keeperIndex()]
+			k.cutOff(healAt)
+			k.mu.Lock()
+			k.serversCutUntil = time.Now().Add(healAt)
+			k.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			h.apply(event{kind: "crash", index: 1, duration: 500 * time.Millisecond})
+			h.report(&backends.KeyedStats{Keys: map[int]int{catalog.LastKey / 2: 900}})
+			time.Sleep(healAt - 3*time.Second)
+			for _, d := range h.daemons {
+				if d != k { // its poll of the store failed just before: it pauses
+					d.mu.Lock()
+					d.storeCutUntil = time.Now().Add(500 * time.Millisecond)
+					d.mu.Unlock()
+				}
+			}
+			h.restore(copyAge, modelRewriteTime)
+			h.finish(t)
+		})
+	}
+}
+
 // A keeper without the store stopped some seconds later than its successor waited, since
 // it counted from when its last answer had become old instead of from the answer.
 func TestUncertainKeeperOutwaitsOneThatIsCutOff(t *testing.T) {
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -713,13 +713,12 @@
 }
 
 // yieldAnother asks another daemon to step down as keeper.
-func (d *simDaemon) yieldAnother(ctx context.Context, other follow.Daemon, r *yieldRequest) error {
+func (d *simDaemon) yieldAnother(ctx context.Context, other follow.Daemon, r *yieldRequest) (*yieldResponse, error) {
 	target, err := d.findDaemon(ctx, other.Name)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_, err = target.keeper.serveYield(ctx, r)
-	return err
+	return target.keeper.serveYield(ctx, r)
 }
 
 // findDaemon returns another daemon. It fails when that was killed, and blocks until
