keeper: a running keeper has a moment to write its record in a new era

What callers saw: after a return to an older copy a keeper that had just been slow to the store was replaced by one that knows only the copy, which grants nothing for seconds. Cause: the others judged the keeper by the age of its last answer, which is old just because the store was away. Change: for 1.5 s from when a daemon hears of an era, a keeper that answers and still keeps the service is left to write its record.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -103,6 +103,8 @@
 	watchedKeepers map[model.PoolName]*watchedKeeper // of the services whose keeper was checked by this daemon
 	yielded        map[model.PoolName]*yieldRequest  // the last request to step down, by service
 	draining       bool                              // this daemon takes no services any more
+	newestEra      platform.Era                      // of the store, as of the last check of keepers
+	newestEraSince time.Time                         // when this daemon first saw newestEra
 
 	background kernel.Background
 }
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -150,6 +150,8 @@
 		k.takeOver(ctx, owners, "the keeper's process has ended", true)
 	case err == nil && !response.Keeping:
 		k.takeOver(ctx, owners, "the keeper has stepped down", true)
+	case err == nil && response.Keeping && k.mayRewrite(owners):
+		w.failedQueries = 0
 	case err == nil && time.Duration(response.StoreAgeMS)*time.Millisecond > maxKeeperStoreAge:
 		k.takeOver(ctx, owners, "the keeper has no recent answer from the store", false)
 	case err == nil:
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -22,6 +22,9 @@
 // maxConcurrentYields bounds the requests to step down that are sent at a time.
 const maxConcurrentYields = 16
 
+// rewriteGrace is the time that a keeper has to hear of a new era and to write its record.
+const rewriteGrace = 1500 * time.Millisecond
+
 // yieldRetryDelay is the pause before daemons that did not confirm are asked again.
 const yieldRetryDelay = time.Second
 
@@ -243,3 +246,15 @@
 	calls.Wait()
 	return unconfirmed
 }
+
+// mayRewrite reports whether the keeper of a record of an earlier era may still write it
+// again: it is given rewriteGrace from the moment at which this daemon heard of the era.
+func (k *Keeper) mayRewrite(owners *catalog.Owners) bool {
+	era := k.follow.StoreEra()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.newestEra != era {
+		k.newestEra, k.newestEraSince = era, time.Now()
+	}
+	return owners.Era < era && time.Since(k.newestEraSince) < rewriteGrace
+}
