keeper: a daemon that confirms late but granted nothing adds no wait

Cause: the wait for unknown grants began when the last daemon had confirmed that it grants none, whether it ever had. Evidence: TestPausedDaemonAddsNoWaitAfterItConfirmed failed before (no owner 4.05 s after the keeper was lost; the new field held at 0). Why this works: a daemon's confirmation says for how long it has granted no keys of the service; unknown grants have expired once the lifetime of a grant has passed since the latest of these times, since the new keeper began to ask (which covers daemons that it does not know), and since a process was found to have ended. An earlier process of the same daemon counts until this one started. Builds that leave the field out count as before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -102,6 +102,7 @@
 	serviceKeepers map[model.PoolName]*serviceKeeper // of the services that this daemon is the keeper of
 	watchedKeepers map[model.PoolName]*watchedKeeper // of the services whose keeper was checked by this daemon
 	yielded        map[model.PoolName]*yieldRequest  // the last request to step down, by service
+	grants         *grantTimes                       // of this daemon
 	draining       bool                              // this daemon takes no services any more
 	newestEra      platform.Era                      // of the store, as of the last check of keepers
 	newestEraSince time.Time                         // when this daemon first saw newestEra
@@ -136,6 +137,7 @@
 		serviceKeepers: map[model.PoolName]*serviceKeeper{},
 		watchedKeepers: map[model.PoolName]*watchedKeeper{},
 		yielded:        map[model.PoolName]*yieldRequest{},
+		grants:         newGrantTimes(time.Now()),
 	}
 	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b) }
 	k.queryStatus = k.queryDaemon
@@ -200,6 +202,14 @@
 	k.serviceKeepers = map[model.PoolName]*serviceKeeper{}
 	k.mu.Unlock()
 	for _, s := range serviceKeepers {
-		s.stop()
+		k.stopKeeping(s)
 	}
 }
+
+// stopKeeping stops the keeper of a service, which must not be in serviceKeepers any more.
+func (k *Keeper) stopKeeping(s *serviceKeeper) {
+	s.stop()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.grants.stopped(s.service, time.Now())
+}
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -51,11 +51,19 @@
 }
 
 // yieldResponse confirms that a daemon is not the keeper of a service, nor becomes it by an
-// earlier write. Era and Term are those of the latest owners record that it knows, if any;
-// builds that know no eras leave them out.
+// earlier write. Era and Term are those of the latest owners record that it knows, if any.
+// IdleMS is for how long it has granted no keys of the service, in milliseconds. Earlier
+// builds leave all three out.
 type yieldResponse struct {
-	Era  platform.Era `json:"era,omitempty"`
-	Term model.Term   `json:"term,omitempty"`
+	Era    platform.Era `json:"era,omitempty"`
+	Term   model.Term   `json:"term,omitempty"`
+	IdleMS int64        `json:"idle_ms,omitempty"`
+}
+
+// lastGrantAt returns the latest time at which the sender may have granted keys, for a
+// response that was received at a time.
+func (r *yieldResponse) lastGrantAt(received time.Time) time.Time {
+	return received.Add(-time.Duration(r.IdleMS) * time.Millisecond)
 }
 
 // watchedKeeper is what this daemon has observed of the keeper of a service since the
@@ -118,11 +126,12 @@
 		if s.hasSteppedDown() {
 			removed = append(removed, s)
 			delete(k.serviceKeepers, service)
+			k.grants.stopped(service, time.Now()) // for requests that arrive before it has stopped
 		}
 	}
 	k.mu.Unlock()
 	for _, s := range removed {
-		s.stop()
+		k.stopKeeping(s)
 	}
 }
 
@@ -196,20 +205,21 @@
 	}, nil
 }
 
-// requestYield asks the keeper of an earlier term to step down, and reports whether it
-// confirmed that. Once it has confirmed, it sends no further grants.
-func (k *Keeper) requestYield(ctx context.Context, d follow.Daemon, r *yieldRequest) bool {
+// requestYield asks another daemon to step down as keeper, and reports whether it confirmed
+// that. Once it has confirmed, it sends no further grants; lastGrantAt is the latest time at
+// which it may have sent one.
+func (k *Keeper) requestYield(ctx context.Context, d follow.Daemon, r *yieldRequest) (lastGrantAt time.Time, confirmed bool) {
 	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
 	defer cancel()
-	_, err := k.yield(ctx, d, r)
+	response, err := k.yield(ctx, d, r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return true // its process has ended
+		return time.Now(), true // its process has ended
 	}
 	if err != nil {
 		k.log.Info("earlier keeper did not confirm that it stepped down", zap.String("peer", string(d.Name)), zap.String("service", string(r.Service)), zap.Error(err))
-		return false
+		return time.Time{}, false
 	}
-	return true
+	return response.lastGrantAt(time.Now()), true
 }
 
 func (k *Keeper) yieldDaemon(ctx context.Context, d follow.Daemon, r *yieldRequest) (*yieldResponse, error) {
@@ -233,9 +243,11 @@
 	k.mu.Unlock()
 	if s != nil {
 		s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(r.Term)))
-		s.stop()
+		k.stopKeeping(s)
 	}
-	response := &yieldResponse{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	response := &yieldResponse{IdleMS: k.grants.idleFor(r.Service, time.Now()).Milliseconds()}
 	if owners := k.catalog.Load().Owners[r.Service]; owners != nil {
 		response.Era, response.Term = owners.Era, owners.Term
 	}
@@ -314,8 +326,12 @@
 		return
 	}
 	d, known := k.follow.DaemonByName(owners.Keeper)
-	if known && k.requestYield(ctx, d, &yieldRequest{Service: next.Service, Term: next.Term, Era: s.era()}) {
-		s.endEarlierGrantsAt(time.Now().Add(maxGrantLifetime(k.grantHold())))
+	if !known {
+		return
+	}
+	request := &yieldRequest{Service: next.Service, Term: next.Term, Era: s.era()}
+	if lastGrantAt, confirmed := k.requestYield(ctx, d, request); confirmed {
+		s.endEarlierGrantsAt(lastGrantAt.Add(maxGrantLifetime(k.grantHold())))
 	}
 }
 
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -190,7 +190,9 @@
 }
 
 // confirmNoOtherKeeper asks all other daemons to step down as keepers of a service, until
-// all have confirmed or the time after which it doesn't matter has passed.
+// all have confirmed or the time after which it doesn't matter has passed. Keys are granted
+// once the last grant that one of them, or a daemon that is not known, may have sent has
+// expired. A daemon that confirms late but has granted nothing meanwhile adds no wait.
 func (k *Keeper) confirmNoOtherKeeper(s *serviceKeeper) {
 	defer s.done.Done()
 	s.mu.Lock()
@@ -198,11 +200,14 @@
 	end := s.earlierGrantsUntil
 	s.mu.Unlock()
 	asked := k.otherDaemons()
+	lastGrantAt := time.Now()
 	for s.ctx.Err() == nil && time.Now().Before(end) {
-		asked = k.requestYields(s.ctx, asked, request)
+		round := k.requestYields(s.ctx, asked, request)
+		asked = round.unconfirmed
+		lastGrantAt = later(lastGrantAt, round.lastGrantAt)
 		if len(asked) == 0 {
-			s.endEarlierGrantsAt(time.Now().Add(maxGrantLifetime(k.grantHold())))
-			s.log.Info("no other daemon grants keys of the service")
+			s.endEarlierGrantsAt(lastGrantAt.Add(maxGrantLifetime(k.grantHold())))
+			s.log.Info("no other daemon grants keys of the service", zap.Duration("last_grant", time.Since(lastGrantAt)))
 			return
 		}
 		select {
@@ -222,11 +227,17 @@
 	return others
 }
 
-// requestYields asks daemons to step down, maxConcurrentYields at a time, and returns those
-// that may still be keepers. A daemon whose process has ended is none.
-func (k *Keeper) requestYields(ctx context.Context, daemons []follow.Daemon, r *yieldRequest) []follow.Daemon {
+// yieldRound is the outcome of one request to each of several daemons to step down.
+type yieldRound struct {
+	unconfirmed []follow.Daemon // that may still be keepers
+	lastGrantAt time.Time       // latest time at which one of the others may have granted keys
+}
+
+// requestYields asks daemons to step down, maxConcurrentYields at a time. A daemon whose
+// process has ended is no keeper.
+func (k *Keeper) requestYields(ctx context.Context, daemons []follow.Daemon, r *yieldRequest) *yieldRound {
 	var mu sync.Mutex
-	var unconfirmed []follow.Daemon
+	round := &yieldRound{}
 	var calls sync.WaitGroup
 	free := make(chan struct{}, maxConcurrentYields)
 	for _, d := range daemons {
@@ -235,16 +246,18 @@
 		go func() {
 			defer calls.Done()
 			defer func() { <-free }()
-			if k.requestYield(ctx, d, r) {
-				return
-			}
+			lastGrantAt, confirmed := k.requestYield(ctx, d, r)
 			mu.Lock()
 			defer mu.Unlock()
-			unconfirmed = append(unconfirmed, d)
+			if !confirmed {
+				round.unconfirmed = append(round.unconfirmed, d)
+				return
+			}
+			round.lastGrantAt = later(round.lastGrantAt, lastGrantAt)
 		}()
 	}
 	calls.Wait()
-	return unconfirmed
+	return round
 }
 
 // mayRewrite reports whether the keeper of a record of an earlier era may still write it
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -111,10 +111,32 @@
 	}
 }
 
+// A daemon that was paused while the keeper was lost with the store's latest records made
+// all keys wait for the lifetime of a grant more, though it had granted nothing.
+func TestPausedDaemonAddsNoWaitAfterItConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 2 * time.Second
+		h := startHistory()
+		h.startDaemon(2)
+		time.Sleep(4 * time.Second)
+		lost := h.keeperIndex()
+		paused := h.daemons[(lost+1)%len(h.daemons)]
+		paused.mu.Lock()
+		paused.pausedUntil = time.Now().Add(pause)
+		paused.mu.Unlock()
+		h.restore(2*time.Second, modelRewriteTime)
+		h.killDaemon(lost)
+		time.Sleep(maxGrantLifetime(defaultHold) + 2*monitorPeriod + yieldRetryDelay)
+		key, unowned := h.unownedKey()
+		must.False(t, unowned, must.Sprintf("key %d has no owner\n%s", key, h.logged.String()))
+		h.finish(t)
+	})
+}
+
 // A daemon that had stepped down for a keeper of a later era must not become keeper by the
 // late answer to a write of an earlier one, whatever it has stepped down for in between.
 func TestYieldOfAnEarlierEraDoesNotReplaceALaterOne(t *testing.T) {
-	k := &Keeper{catalog: catalog.New(), serviceKeepers: map[model.PoolName]*serviceKeeper{}, yielded: map[model.PoolName]*yieldRequest{}}
+	k := &Keeper{catalog: catalog.New(), serviceKeepers: map[model.PoolName]*serviceKeeper{}, yielded: map[model.PoolName]*yieldRequest{}, grants: newGrantTimes(time.Now())}
 	for _, r := range []*yieldRequest{{Service: "a", Era: 2, Term: 3}, {Service: "a", Era: 1, Term: 7}} {
 		_, err := k.serveYield(t.Context(), r)
 		must.NoError(t, err)
