rpc: the reset of a connection is no error of the peer

What callers would see: after the store came back from an older copy, no key is granted for 2.5 s to 14.5 s (503): the running keeper stepped down because the connection to a daemon that it asked was reset, as when that daemon is killed. Cause: the client library reports a connection that failed during a call as an error of the protocol, with its code for internal errors; Call took it for an answer of the peer. compareWith takes such an answer for the refusal of a later keeper. Evidence: TestResetConnectionIsNoErrorOfThePeer failed before (RemoteError: read: connection reset by peer). A connection that is closed in order was no RemoteError. Why this works: the handlers' errors have another code; that of internal errors counts as a call without an answer.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -143,7 +143,8 @@
 
 // Call calls a method of the peer at address (ip:port). Errors name the method and
 // the peer. A *RemoteError means that the peer answered with an error. After any
-// other error of a call its connection is closed.
+// other error of a call its connection is closed. jrpc2.InternalError is the code with
+// which the client itself reports a connection that failed during a call.
 func Call[Resp, Req any](ctx context.Context, c *Client, address string, method Method, req *Req) (*Resp, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -165,7 +166,7 @@
 		return resp, nil
 	}
 	var remote *jrpc2.Error
-	if errors.As(err, &remote) && ctx.Err() == nil {
+	if errors.As(err, &remote) && remote.Code != jrpc2.InternalError && ctx.Err() == nil {
 		return nil, &RemoteError{Peer: address, Method: method, Message: remote.Message}
 	}
 	p.drop(client)
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -116,3 +116,23 @@
 		must.Error(t, <-results)
 	}
 }
+
+// A keeper took the reset of a connection for a daemon's refusal, and stepped down.
+func TestResetConnectionIsNoErrorOfThePeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1)) // the call has been sent
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	_, err = rpc.Call[nextResponse](t.Context(), newClient(t, &netx.Network{}), listener.Addr().String(), methodNext, &nextRequest{})
+	must.Error(t, err)
+	var remote *rpc.RemoteError
+	must.False(t, errors.As(err, &remote), must.Sprint(err))
+}
