keeper: a keeper that nobody can confirm does not wait without end

What callers would see: after the store came back from an older copy, keys of servers that crash have no owner any more (503), where the other daemons that follow the store have ended for good or cannot be reached. Cause: before a keeper writes its record in a new era, one of these daemons has to confirm that it is the latest one. Until then it renews what it has granted and moves nothing, and nothing ended that. Why this works: if all other daemons confirm that they grant nothing, or have ended, the grants of an unknown later keeper expire within their lifetime (2.55 s), and the record is written then. If they can't be asked for as long as such a keeper could go on (14.55 s), this one steps down, and its successor is an uncertain one that grants nothing meanwhile.

--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -33,7 +33,7 @@
 
 // Values of knowledge.
 const (
-	unconfirmed  knowledge = iota // no daemon that follows the store has answered
+	unconfirmed  knowledge = iota // no daemon that would know of a later record has answered
 	isLatest                      // no daemon knows a later record
 	isSuperseded                  // another daemon was the keeper last
 )
@@ -69,25 +69,67 @@
 		s.stepDown("another daemon became the keeper before the store came back from an older copy", zap.Uint64("era", uint64(era)))
 		return false
 	case unconfirmed:
-		s.log.Info("no daemon has confirmed yet that this one is the latest keeper", zap.Uint64("era", uint64(era)))
-		s.resumeGrants(nil)
-		return false
+		return s.enterEraUnconfirmed(era)
 	}
 	return s.rewrite(platform.Position{Era: era})
 }
 
+// doubt is what a keeper knows in an era in which no daemon has confirmed that it is the
+// latest one.
+type doubt struct {
+	era             platform.Era
+	since           time.Time
+	othersStoppedAt time.Time // when all other daemons had confirmed that they grant nothing; zero before
+}
+
+// enterEraUnconfirmed is enterEra while no other daemon remembers who was the keeper. If all
+// others grant nothing, the record is written once the grants of those that have ended have
+// expired. If they can't be asked for too long, this keeper steps down: its successor is
+// an uncertain one.
+func (s *serviceKeeper) enterEraUnconfirmed(era platform.Era) bool {
+	if s.doubt.era != era {
+		s.doubt = doubt{era: era, since: time.Now()}
+	}
+	if s.doubt.othersStoppedAt.IsZero() && s.othersGrantNothing() {
+		s.doubt.othersStoppedAt = time.Now()
+	}
+	lifetime := maxGrantLifetime(s.keeper.grantHold())
+	stoppedAt := s.doubt.othersStoppedAt
+	switch {
+	case !stoppedAt.IsZero() && time.Since(stoppedAt) > lifetime:
+		return s.rewrite(platform.Position{Era: era})
+	case time.Since(s.doubt.since) > lifetime+maxRenewWithoutStore:
+		s.stepDown("no daemon has confirmed that this one is the latest keeper", zap.Uint64("era", uint64(era)))
+		return false
+	}
+	s.log.Info("no daemon has confirmed yet that this one is the latest keeper", zap.Uint64("era", uint64(era)),
+		zap.Bool("others_stopped", !stoppedAt.IsZero()))
+	s.resumeGrants(nil)
+	return false
+}
+
+// othersGrantNothing reports whether all other daemons confirm that they are no later keeper
+// of the service.
+func (s *serviceKeeper) othersGrantNothing() bool {
+	return len(s.keeper.requestYields(s.ctx, s.keeper.otherDaemons(), s.ownTerm())) == 0
+}
+
+// ownTerm returns the request to step down of this keeper's term.
+func (s *serviceKeeper) ownTerm() *yieldRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &yieldRequest{Service: s.service, Term: s.owners.Term, Era: s.owners.Era}
+}
+
 // compareWithOthers asks the other daemons that follow the store whether they are, or know
 // of, a later keeper of the service. One answer is enough if none contradicts: changes
 // reach all of these daemons at once. A daemon on its own has nobody to ask.
 func (s *serviceKeeper) compareWithOthers() knowledge {
-	s.mu.Lock()
-	own := &catalog.Owners{Position: s.owners.Position, Term: s.owners.Term}
-	s.mu.Unlock()
-	request := &yieldRequest{Service: s.service, Term: own.Term, Era: own.Era}
+	request := s.ownTerm()
 	others := s.keeper.otherFollowers()
 	results := make(chan knowledge, len(others))
 	for _, d := range others {
-		go func() { results <- s.compareWith(d, request, own) }()
+		go func() { results <- s.compareWith(d, request) }()
 	}
 	found := unconfirmed
 	if len(others) == 0 {
@@ -100,7 +142,7 @@
 }
 
 // compareWith asks one daemon. A refusal comes from a keeper of the same or a later term.
-func (s *serviceKeeper) compareWith(d follow.Daemon, r *yieldRequest, own *catalog.Owners) knowledge {
+func (s *serviceKeeper) compareWith(d follow.Daemon, r *yieldRequest) knowledge {
 	ctx, cancel := context.WithTimeout(s.ctx, yieldTimeout)
 	defer cancel()
 	response, err := s.keeper.yield(ctx, d, r)
@@ -112,7 +154,7 @@
 		return unconfirmed // a daemon that has just started knows of no record
 	}
 	known := &catalog.Owners{Position: platform.Position{Era: response.Era}, Term: response.Term}
-	if known.LaterTermThan(own) {
+	if known.LaterTermThan(r.asOwners()) {
 		return isSuperseded
 	}
 	return isLatest
@@ -193,8 +235,8 @@
 // all have confirmed or the time after which it doesn't matter has passed.
 func (k *Keeper) confirmNoOtherKeeper(s *serviceKeeper) {
 	defer s.done.Done()
+	request := s.ownTerm()
 	s.mu.Lock()
-	request := &yieldRequest{Service: s.service, Term: s.owners.Term, Era: s.owners.Era}
 	end := s.earlierGrantsUntil
 	s.mu.Unlock()
 	asked := k.otherDaemons()
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -53,23 +53,30 @@
 	d.isolatedUntil = d.storeCutUntil
 }
 
+// replaceKeeper has the first keeper of a history cut off for some seconds, in which another
+// one replaces it and moves the keys of a server that crashes. It returns the first keeper.
+func (h *history) replaceKeeper() *simDaemon {
+	const healAt = 8 * time.Second
+	k := h.daemons[h.keeperIndex()]
+	k.cutOff(healAt)
+	k.mu.Lock()
+	k.serversCutUntil = time.Now().Add(healAt)
+	k.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	h.apply(event{kind: "crash", index: 1, duration: 500 * time.Millisecond})
+	h.report(&backends.KeyedStats{Keys: map[int]int{catalog.LastKey / 2: 900}})
+	time.Sleep(healAt - 3*time.Second)
+	return k
+}
+
 // A keeper that was cut off did not hear that another one had replaced it and moved keys.
 // The store then lost both, and the first keeper wrote its own record again, as if it knew
 // the latest one.
 func TestReplacedKeeperDoesNotWriteItsRecordAgain(t *testing.T) {
 	for _, copyAge := range []time.Duration{9 * time.Second, 6 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
-			const healAt = 8 * time.Second
 			h := startHistory()
-			k := h.daemons[h.keeperIndex()]
-			k.cutOff(healAt)
-			k.mu.Lock()
-			k.serversCutUntil = time.Now().Add(healAt)
-			k.mu.Unlock()
-			time.Sleep(3 * time.Second)
-			h.apply(event{kind: "crash", index: 1, duration: 500 * time.Millisecond})
-			h.report(&backends.KeyedStats{Keys: map[int]int{catalog.LastKey / 2: 900}})
-			time.Sleep(healAt - 3*time.Second)
+			k := h.replaceKeeper()
 			for _, d := range h.daemons {
 				if d != k { // its poll of the store failed just before: it pauses
 					d.mu.Lock()
@@ -83,6 +90,33 @@
 	}
 }
 
+// A keeper whose fellow daemons had all ended, or could not be reached, waited for their word
+// without end: the keys of servers that crashed had no owner from then on.
+func TestKeeperMovesKeysWhenNoOtherDaemonIsLeft(t *testing.T) {
+	for name, lose := range map[string]func(h *history, index int){
+		"ended":  func(h *history, index int) { h.killDaemon(index) },
+		"silent": func(h *history, index int) { h.daemons[index].cutOff(time.Hour) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := startHistory()
+				keeper := h.keeperIndex()
+				for i := range h.daemons {
+					if i != keeper {
+						lose(h, i)
+					}
+				}
+				h.restore(time.Second, modelRewriteTime)
+				h.apply(event{kind: "crash", index: 1, duration: 500 * time.Millisecond})
+				time.Sleep(2 * modelRecoveryTime)
+				_, missing := h.unownedKey()
+				h.finish(t)
+				must.False(t, missing)
+			})
+		})
+	}
+}
+
 // A keeper without the store stopped some seconds later than its successor waited, since
 // it counted from when its last answer had become old instead of from the answer.
 func TestUncertainKeeperOutwaitsOneThatIsCutOff(t *testing.T) {
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -51,6 +51,7 @@
 	balancedAt           time.Time // when the last round of balancing began
 	noMovesBefore        time.Time // after a failed write, see writeFailureDelay
 	storeSeenAt          time.Time // when the store last answered; used by renewLoop only
+	doubt                doubt     // used by moveLoop only
 
 	ctx    context.Context
 	cancel context.CancelFunc
