keeper: only a daemon that remembers the era confirms a keeper

What callers would see: two servers hold the same keys (OWNER): a keeper was cut off, another one replaced it and moved keys, and restarted when the store came back from an older copy. The new process read the first keeper's record from the copy and confirmed it as the latest, so that the first keeper moved the same keys to others. Cause: any answer counted that named no later record, also one of a process that knows only the copy, or of a daemon that has not even heard of the asking keeper's record. Why this works: a process that first read the records in a later era than that of the owners it knows states none, and a daemon that knows only an earlier term does not confirm. FollowedSince has a test of its own in follow. The model's daemons remember likewise.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -281,6 +281,12 @@
 	return newest
 }
 
+// FollowedSince returns the era in which this process first had a copy of platform.Shared, 0
+// before. What the store lost when that era began, it does not know.
+func (f *Follower) FollowedSince() platform.Era {
+	return f.replicas[platform.Shared].followedSince()
+}
+
 // applyUpdate applies an update to the copy of a collection and publishes the changes.
 func (f *Follower) applyUpdate(c platform.Collection, u update) {
 	if c == platform.Servers && u.Era > max(f.replicas[c].completeUpTo().Era, platform.FirstEra) {
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -18,6 +18,7 @@
 	records  map[string]platform.Record
 	floor    platform.Position // all changes after it are in records, deletions included
 	position platform.Position // all changes up to it are in records; zero before the first read
+	firstEra platform.Era      // of the first update, 0 before
 }
 
 // update is the difference that brings the copy of one collection up to its position.
@@ -67,6 +68,13 @@
 	return r.position
 }
 
+// followedSince returns the era of the first update, 0 before it.
+func (r *replica) followedSince() platform.Era {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.firstEra
+}
+
 // since returns the update for a copy that is complete up to the given position. It is a
 // full one if that position is below the floor or of an earlier era, and an empty one if
 // that position is of a later era.
@@ -97,6 +105,9 @@
 		return applied{previous: r.position}
 	}
 	result := applied{newEra: u.Era > r.position.Era, previous: r.position}
+	if r.firstEra == 0 {
+		r.firstEra = u.Era
+	}
 	result.changes = r.merge(u.Records)
 	if u.Full {
 		result.changes = append(result.changes, r.deleteUnlisted(u)...)
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -298,3 +298,18 @@
 		must.True(t, r.server("s1").Leaving)
 	})
 }
+
+// A daemon that started after the store came back knows only the copy, and must not count as
+// one that remembers the era before.
+func TestFollowedSinceIsTheEraOfTheFirstCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		must.Zero(t, r.follower.FollowedSince())
+		r.read(era(3, 9)) // of another collection
+		must.Zero(t, r.follower.FollowedSince())
+		for _, e := range []platform.Era{2, 3} {
+			r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(e, 40)})
+			must.EqOp(t, 2, r.follower.FollowedSince())
+		}
+	})
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -63,6 +63,8 @@
 	StoreReachable() bool
 	// StoreEra returns the newest era of the store that this daemon has heard of.
 	StoreEra() platform.Era
+	// FollowedSince returns the era in which this process first had a copy of the records.
+	FollowedSince() platform.Era
 	// Daemons returns all daemons of the fleet, this one included.
 	Daemons() []follow.Daemon
 	// ReadRegistration reads a server's registration from the store.
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -51,8 +51,9 @@
 }
 
 // yieldResponse confirms that a daemon is not the keeper of a service, nor becomes it by an
-// earlier write. Era and Term are those of the latest owners record that it knows, if any;
-// builds that know no eras leave them out.
+// earlier write. Era and Term are those of the latest owners record that it knows. They are
+// left out if it knows none, or none but that of an older copy of the store, and by builds
+// that know no eras.
 type yieldResponse struct {
 	Era  platform.Era `json:"era,omitempty"`
 	Term model.Term   `json:"term,omitempty"`
@@ -235,11 +236,18 @@
 		s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(r.Term)))
 		s.stop()
 	}
-	response := &yieldResponse{}
-	if owners := k.catalog.Load().Owners[r.Service]; owners != nil {
-		response.Era, response.Term = owners.Era, owners.Term
-	}
-	return response, nil
+	return k.knownOwners(r.Service), nil
+}
+
+// knownOwners returns the era and the term of the latest owners record that this daemon
+// knows. A process that started in a later era than that of the record knows only what the
+// older copy of the store had: it may have lost later ones.
+func (k *Keeper) knownOwners(service model.PoolName) *yieldResponse {
+	owners := k.catalog.Load().Owners[service]
+	if owners == nil || owners.Era < k.follow.FollowedSince() {
+		return &yieldResponse{}
+	}
+	return &yieldResponse{Era: owners.Era, Term: owners.Term}
 }
 
 // assignInitially becomes the keeper of a service that has no owners record yet, and
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -154,8 +154,11 @@
 		return unconfirmed // a daemon that has just started knows of no record
 	}
 	known := &catalog.Owners{Position: platform.Position{Era: response.Era}, Term: response.Term}
-	if known.LaterTermThan(r.asOwners()) {
+	switch {
+	case known.LaterTermThan(r.asOwners()):
 		return isSuperseded
+	case r.laterThan(known):
+		return unconfirmed // it has not heard of this keeper's record, nor would it of a later one
 	}
 	return isLatest
 }
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// The daemon that had replaced a keeper was restarted with the store. It knew only the copy,
+// and confirmed to the first keeper that there was no later one.
+func TestRestartedDaemonDoesNotConfirmAKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHistory()
+		k := h.replaceKeeper()
+		h.restore(9*time.Second, modelRewriteTime)
+		for i, d := range h.daemons {
+			if d != k {
+				h.restartDaemon(i)
+			}
+		}
+		h.finish(t)
+	})
+}
+
 // A keeper whose fellow daemons had all ended, or could not be reached, waited for their word
 // without end: the keys of servers that crashed had no owner from then on.
 func TestKeeperMovesKeysWhenNoOtherDaemonIsLeft(t *testing.T) {
@@ -148,7 +164,7 @@
 // A daemon that had stepped down for a keeper of a later era must not become keeper by the
 // late answer to a write of an earlier one, whatever it has stepped down for in between.
 func TestYieldOfAnEarlierEraDoesNotReplaceALaterOne(t *testing.T) {
-	k := &Keeper{catalog: catalog.New(), serviceKeepers: map[model.PoolName]*serviceKeeper{}, yielded: map[model.PoolName]*yieldRequest{}}
+	k := &Keeper{catalog: catalog.New(), follow: &simDaemon{}, serviceKeepers: map[model.PoolName]*serviceKeeper{}, yielded: map[model.PoolName]*yieldRequest{}}
 	for _, r := range []*yieldRequest{{Service: "a", Era: 2, Term: 3}, {Service: "a", Era: 1, Term: 7}} {
 		_, err := k.serveYield(t.Context(), r)
 		must.NoError(t, err)
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -437,6 +437,7 @@
 	mu            sync.Mutex
 	records       map[string]platform.Record
 	era           platform.Era // of the store, as far as this daemon has heard
+	followedSince platform.Era // of the first read of the records, 0 before
 	storeSeenAt   time.Time
 	pausedUntil   time.Time // the process is paused
 	storeCutUntil time.Time // the store does not answer this daemon
@@ -644,6 +645,9 @@
 	}
 	d.mu.Lock()
 	d.era = max(d.era, era)
+	if d.followedSince == 0 {
+		d.followedSince = era
+	}
 	d.mu.Unlock()
 	for _, record := range records {
 		d.ApplyWrite(platform.Shared, record)
@@ -657,6 +661,13 @@
 	return d.era
 }
 
+// FollowedSince implements fleetView.
+func (d *simDaemon) FollowedSince() platform.Era {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.followedSince
+}
+
 // Daemons implements fleetView.
 func (d *simDaemon) Daemons() []follow.Daemon { return d.DesignatedFollowers() }
 
