--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -51,9 +51,10 @@
 }
 
 // yieldResponse confirms that a daemon is not the keeper of a service, nor becomes it by an
-// earlier write. Era and Term are those of the latest owners record that it knows, if any.
-// IdleMS is for how long it has granted no keys of the service, in milliseconds. Earlier
-// builds leave all three out.
+// earlier write. Era and Term are those of the latest owners record that it knows. They are
+// left out if it knows none, or none but that of an older copy of the store. IdleMS is for how
+// long it has granted no keys of the service, in milliseconds. Earlier builds leave all
+// three out.
 type yieldResponse struct {
 	Era    platform.Era `json:"era,omitempty"`
 	Term   model.Term   `json:"term,omitempty"`
@@ -245,13 +246,28 @@
 		s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(r.Term)))
 		k.stopKeeping(s)
 	}
+	response := k.knownOwners(r.Service)
+	response.IdleMS = k.grantsIdleFor(r.Service).Milliseconds()
+	return response, nil
+}
+
+// grantsIdleFor returns the time for which this daemon has granted no keys of a service that
+// it is not the keeper of.
+func (k *Keeper) grantsIdleFor(service model.PoolName) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	response := &yieldResponse{IdleMS: k.grants.idleFor(r.Service, time.Now()).Milliseconds()}
-	if owners := k.catalog.Load().Owners[r.Service]; owners != nil {
-		response.Era, response.Term = owners.Era, owners.Term
-	}
-	return response, nil
+	return k.grants.idleFor(service, time.Now())
+}
+
+// knownOwners returns the era and the term of the latest owners record that this daemon
+// knows. A process that started in a later era than that of the record knows only what the
+// older copy of the store had: it may have lost later ones.
+func (k *Keeper) knownOwners(service model.PoolName) *yieldResponse {
+	owners := k.catalog.Load().Owners[service]
+	if owners == nil || owners.Era < k.follow.FollowedSince() {
+		return &yieldResponse{}
+	}
+	return &yieldResponse{Era: owners.Era, Term: owners.Term}
 }
 
 // assignInitially becomes the keeper of a service that has no owners record yet, and
