keeper: each request to step down waits for the calls in progress

What callers would see: a falling fence or two owners (OWNER): while a keeper stopped at one daemon's request, a second daemon was told at once that no grant would be sent any more, and now also that the last one was long ago. Cause: the serviceKeeper was removed before its calls had ended, so that the second request found none. Found by reading again. Why this works: a serviceKeeper is removed once it has stopped; who stops it waits.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,18 +202,22 @@
 func (k *Keeper) stopAll() {
 	k.mu.Lock()
 	k.draining = true
-	serviceKeepers := k.serviceKeepers
-	k.serviceKeepers = map[model.PoolName]*serviceKeeper{}
+	stopped := slices.Collect(maps.Values(k.serviceKeepers))
 	k.mu.Unlock()
-	for _, s := range serviceKeepers {
+	for _, s := range stopped {
 		k.stopKeeping(s)
 	}
 }
 
-// stopKeeping stops the keeper of a service, which must not be in serviceKeepers any more.
+// stopKeeping stops a serviceKeeper, and removes it once its calls have ended. Several callers
+// may stop the same one: each of them waits.
 func (k *Keeper) stopKeeping(s *serviceKeeper) {
 	s.stop()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.serviceKeepers[s.service] != s {
+		return
+	}
+	delete(k.serviceKeepers, s.service)
 	k.grants.stopped(s.service, time.Now())
 }
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -123,11 +123,9 @@
 func (k *Keeper) removeSteppedDown() {
 	k.mu.Lock()
 	var removed []*serviceKeeper
-	for service, s := range k.serviceKeepers {
+	for _, s := range k.serviceKeepers {
 		if s.hasSteppedDown() {
 			removed = append(removed, s)
-			delete(k.serviceKeepers, service)
-			k.grants.stopped(service, time.Now()) // for requests that arrive before it has stopped
 		}
 	}
 	k.mu.Unlock()
@@ -237,7 +235,6 @@
 		k.mu.Unlock()
 		return nil, errors.Errorf("keeper of service %s does not step down: term %d is not later than its own", r.Service, r.Term)
 	}
-	delete(k.serviceKeepers, r.Service)
 	if k.yielded[r.Service] == nil || r.laterThan(k.yielded[r.Service].asOwners()) {
 		k.yielded[r.Service] = r
 	}
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -1,12 +1,15 @@
 package keeper
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -197,6 +200,33 @@
 	must.True(t, k.yielded["a"].laterThan(&catalog.Owners{Term: 2, Position: platform.Position{Era: 2}}))
 }
 
+// While a keeper was stopping at one daemon's request, a second daemon was told that no grant
+// would be sent any more, though calls were still in progress.
+func TestEachRequestToStepDownWaitsForTheKeepersCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callDuration = 300 * time.Millisecond
+		k := &Keeper{
+			catalog: catalog.New(), follow: &simDaemon{}, serviceKeepers: map[model.PoolName]*serviceKeeper{},
+			yielded: map[model.PoolName]*yieldRequest{}, grants: newGrantTimes(time.Now().Add(-time.Hour)),
+		}
+		s := &serviceKeeper{keeper: k, service: "a", log: zap.NewNop(), owners: &catalog.Owners{Service: "a", Term: 1}}
+		s.ctx, s.cancel = context.WithCancel(t.Context())
+		s.done.Go(func() { time.Sleep(callDuration) })
+		k.serviceKeepers["a"] = s
+		started := time.Now()
+		for range 2 {
+			go func() {
+				response, err := k.serveYield(t.Context(), &yieldRequest{Service: "a", Term: 2})
+				test.NoError(t, err)
+				test.GreaterEq(t, callDuration, time.Since(started))
+				test.Zero(t, response.IdleMS)
+			}()
+		}
+		time.Sleep(time.Second)
+		must.MapEmpty(t, k.serviceKeepers)
+	})
+}
+
 // Fences of an era are above all of the eras before, and rise within it.
 func TestFencesRiseOverEras(t *testing.T) {
 	const manyRevisions = 1 << 39
