keeper: earlier grants are waited for from the end of the write

What callers would see: two servers hold the same keys (OWNER): an uncertain keeper whose record took seconds to write grants keys while a keeper that was cut off in these seconds still renews others. Cause: the time for which a keeper without the store goes on renewing was counted from before the write of the later record. Until the write takes effect, the earlier keeper may have answers of the store that say nothing of it. Why this works: an earlier keeper that has an answer after the write hears of it and steps down; one that has none stops within the time that is counted from the answer to the write, which is later. The same holds for a takeover within an era.

--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -315,7 +315,7 @@
 	earlierGrantsUntil := time.Now().Add(maxGrantLifetime(k.grantHold()))
 	if next.EarlierKeeperMayRenew {
 		// Without contact to the store, the earlier keeper goes on renewing for this time.
-		earlierGrantsUntil = earlierGrantsUntil.Add(maxRenewWithoutStore)
+		earlierGrantsUntil = time.Now().Add(k.longestEarlierGrants())
 	}
 	s := k.becomeKeeper(ctx, &next, earlierGrantsUntil, reason)
 	if s == nil || earlierStopped || owners.EarlierKeeperMayRenew {
@@ -327,6 +327,12 @@
 	}
 }
 
+// longestEarlierGrants returns the time for which grants of an earlier keeper that has lost
+// its contact to the store may stay in force.
+func (k *Keeper) longestEarlierGrants() time.Duration {
+	return maxGrantLifetime(k.grantHold()) + maxRenewWithoutStore
+}
+
 // becomeKeeper writes the owners record with this daemon as keeper and begins to renew
 // grants and move keys. It returns nil when the write failed or this daemon is
 // shutting down.
@@ -344,6 +350,10 @@
 	k.log.Info("became keeper", zap.String("service", string(next.Service)), zap.String("why", reason),
 		zap.Uint64("term", uint64(next.Term)), zap.Uint64("revision", uint64(written.Revision)),
 		zap.Uint64("era", uint64(written.Era)), zap.Bool("uncertain", written.Uncertain))
+	if next.EarlierKeeperMayRenew {
+		// The earlier keeper may have had contact to the store until the write.
+		earlierGrantsUntil = later(earlierGrantsUntil, time.Now().Add(k.longestEarlierGrants()))
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.draining || k.yielded[next.Service].laterThan(written) {
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -93,12 +93,11 @@
 	if s.doubt.othersStoppedAt.IsZero() && s.othersGrantNothing() {
 		s.doubt.othersStoppedAt = time.Now()
 	}
-	lifetime := maxGrantLifetime(s.keeper.grantHold())
 	stoppedAt := s.doubt.othersStoppedAt
 	switch {
-	case !stoppedAt.IsZero() && time.Since(stoppedAt) > lifetime:
+	case !stoppedAt.IsZero() && time.Since(stoppedAt) > maxGrantLifetime(s.keeper.grantHold()):
 		return s.rewrite(platform.Position{Era: era})
-	case time.Since(s.doubt.since) > lifetime+maxRenewWithoutStore:
+	case time.Since(s.doubt.since) > s.keeper.longestEarlierGrants():
 		s.stepDown("no daemon has confirmed that this one is the latest keeper", zap.Uint64("era", uint64(era)))
 		return false
 	}
@@ -230,8 +229,7 @@
 func (k *Keeper) becomeUncertainKeeper(ctx context.Context, next *catalog.Owners, reason string) {
 	next.Uncertain = true
 	next.EarlierKeeperMayRenew = true
-	until := time.Now().Add(maxGrantLifetime(k.grantHold()) + maxRenewWithoutStore)
-	k.becomeKeeper(ctx, next, until, reason)
+	k.becomeKeeper(ctx, next, time.Now().Add(k.longestEarlierGrants()), reason)
 }
 
 // confirmNoOtherKeeper asks all other daemons to step down as keepers of a service, until
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
 )
@@ -161,6 +163,40 @@
 	}
 }
 
+// An uncertain keeper counted the time for which it grants nothing from before the write of
+// its record. While the write was slow, the earlier keeper still had answers of the store.
+func TestUncertainKeeperWaitsFromTheEndOfItsWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const writing = 3500 * time.Millisecond // ends just before the write takes effect
+		h := startHistory()
+		for range 4 {
+			h.report(&backends.KeyedStats{Keys: map[int]int{2000: 900, 4000: 900, 6000: 900, 9000: 400}})
+			time.Sleep(500 * time.Millisecond)
+		}
+		k := h.daemons[h.keeperIndex()]
+		k.mu.Lock()
+		k.isolatedUntil = time.Now().Add(time.Hour)
+		k.mu.Unlock()
+		k.keeper.yield = func(ctx context.Context, _ follow.Daemon, _ *yieldRequest) (*yieldResponse, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		h.mu.Lock()
+		h.lateWrites, h.lateness = 25, 2*writing
+		h.mu.Unlock()
+		h.restore(2500*time.Millisecond, modelRewriteTime)
+		for i, d := range h.daemons {
+			if d != k {
+				h.restartDaemon(i)
+			}
+		}
+		time.Sleep(writing)
+		k.cutOff(time.Hour)
+		time.Sleep(modelRecoveryTime)
+		h.finish(t)
+	})
+}
+
 // A daemon that had stepped down for a keeper of a later era must not become keeper by the
 // late answer to a write of an earlier one, whatever it has stepped down for in between.
 func TestYieldOfAnEarlierEraDoesNotReplaceALaterOne(t *testing.T) {
