--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -313,3 +313,51 @@
 		}
 	})
 }
+
+// A copy from just before a server registered again was taken for one as of the end of the
+// wait, and the server was dropped.
+func TestMissingServerIsJudgedByACopyAsOfTheEndOfTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+		r.read(era(2, 4))
+		r.pass(missingRegistrationGrace - 100*time.Millisecond)
+		time.Sleep(time.Second) // the store does not answer, and the server registers again
+		must.False(t, r.server("s1").Leaving)
+		r.apply(update{Position: era(2, 5), Records: []wireRecord{at(era(2, 5), "s1", catalog.Server{StartedMS: 5, Sequence: 21})}})
+		r.pass(10 * time.Second)
+		must.False(t, r.server("s1").Leaving)
+	})
+}
+
+// A daemon that had heard of an era by the registrations of servers went on as in the one
+// before until its next poll of the shared records.
+func TestEraIsTheNewestOfAnyCollection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		must.Zero(t, r.follower.StoreEra())
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(1, 9)})
+		must.EqOp(t, 1, r.follower.StoreEra())
+		r.read(era(2, 4))
+		must.EqOp(t, 2, r.follower.StoreEra())
+	})
+}
+
+// A daemon of a build that knows no eras took the revisions of a later era for those of its
+// own, and ignored or replaced records at random.
+func TestBuildsWithoutErasGetNoRecordsOfALaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		withoutEras := &pollRequest{Have: map[platform.Collection]platform.Revision{platform.Servers: 3}}
+		for _, e := range []platform.Era{1, 2} {
+			r.read(era(e, 9), at(era(e, 9), "s1", catalog.Server{StartedMS: 5}))
+			_, sent := r.follower.buildPollResponse(withoutEras).Updates[platform.Servers]
+			must.Eq(t, e == platform.FirstEra, sent)
+			_, sent = r.follower.buildPollResponse(r.follower.newPollRequest(0)).Updates[platform.Servers]
+			must.False(t, sent) // it has all
+			behind := &pollRequest{Have: withoutEras.Have, Eras: map[platform.Collection]platform.Era{platform.Servers: 1}}
+			_, sent = r.follower.buildPollResponse(behind).Updates[platform.Servers]
+			must.True(t, sent)
+		}
+	})
+}
