--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,3 +223,48 @@
 	}
 	must.Less(t, 1<<53, last, must.Sprint("a fence is a JSON number"))
 }
+
+// Before the store's first answer its era is not known, and a record of no era could be
+// written.
+func TestNoFirstAssignmentBeforeTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHistory()
+		d := h.daemons[0]
+		d.mu.Lock()
+		d.era = 0
+		d.mu.Unlock()
+		d.keeper.assignFirst(t.Context(), "unassigned", nil)
+		h.mu.Lock()
+		names := slices.Collect(maps.Keys(h.records))
+		h.mu.Unlock()
+		h.finish(t)
+		must.Eq(t, []string{follow.OwnersRecordName(modelService, platform.FirstEra)}, names)
+	})
+}
+
+// A keeper that had just been slow to the store when this came back was replaced by an
+// uncertain one, which grants nothing for seconds.
+func TestRunningKeeperHasTimeToWriteItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 4 * time.Second
+		const heardLater = time.Second // by the keeper than by the other daemon
+		h := startHistory()
+		k := h.daemons[h.keeperIndex()]
+		k.mu.Lock()
+		k.storeCutUntil = time.Now().Add(outage + heardLater)
+		k.mu.Unlock()
+		h.mu.Lock()
+		h.storeDownUntil = time.Now().Add(outage)
+		h.mu.Unlock()
+		time.Sleep(outage)
+		h.restore(outage+time.Second, modelRewriteTime)
+		time.Sleep(2 * heardLater)
+		h.mu.Lock()
+		owners, err := follow.DecodeOwners(h.records[follow.OwnersRecordName(modelService, 2)])
+		h.mu.Unlock()
+		h.finish(t)
+		must.NoError(t, err)
+		must.Eq(t, k.self.Name, owners.Keeper)
+		must.False(t, owners.Uncertain)
+	})
+}
