--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/backends"
 	"github.com/chicorylug/chicorylug/internal/catalog"
+	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
 )
@@ -186,6 +189,40 @@
 	})
 }
 
+// An uncertain keeper counted the time for which it grants nothing from before the write of
+// its record. While the write was slow, the earlier keeper still had answers of the store.
+func TestUncertainKeeperWaitsFromTheEndOfItsWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const writing = 3500 * time.Millisecond // ends just before the write takes effect
+		h := startHistory()
+		for range 4 {
+			h.report(&backends.KeyedStats{Keys: map[int]int{2000: 900, 4000: 900, 6000: 900, 9000: 400}})
+			time.Sleep(500 * time.Millisecond)
+		}
+		k := h.daemons[h.keeperIndex()]
+		k.mu.Lock()
+		k.isolatedUntil = time.Now().Add(time.Hour)
+		k.mu.Unlock()
+		k.keeper.yield = func(ctx context.Context, _ follow.Daemon, _ *yieldRequest) (*yieldResponse, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		h.mu.Lock()
+		h.lateWrites, h.lateness = 25, 2*writing
+		h.mu.Unlock()
+		h.restore(2500*time.Millisecond, modelRewriteTime)
+		for i, d := range h.daemons {
+			if d != k {
+				h.restartDaemon(i)
+			}
+		}
+		time.Sleep(writing)
+		k.cutOff(time.Hour)
+		time.Sleep(modelRecoveryTime)
+		h.finish(t)
+	})
+}
+
 // A daemon that had stepped down for a keeper of a later era must not become keeper by the
 // late answer to a write of an earlier one, whatever it has stepped down for in between.
 func TestYieldOfAnEarlierEraDoesNotReplaceALaterOne(t *testing.T) {
@@ -240,3 +277,48 @@
 	}
 	must.Less(t, 1<<53, last, must.Sprint("a fence is a JSON number"))
 }
+
+// Before the store's first answer its era is not known, and a record of no era could be
+// written.
+func TestNoFirstAssignmentBeforeTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHistory()
+		d := h.daemons[0]
+		d.mu.Lock()
+		d.era = 0
+		d.mu.Unlock()
+		d.keeper.assignFirst(t.Context(), "unassigned", nil)
+		h.mu.Lock()
+		names := slices.Collect(maps.Keys(h.records))
+		h.mu.Unlock()
+		h.finish(t)
+		must.Eq(t, []string{follow.OwnersRecordName(modelService, platform.FirstEra)}, names)
+	})
+}
+
+// A keeper that had just been slow to the store when this came back was replaced by an
+// uncertain one, which grants nothing for seconds.
+func TestRunningKeeperHasTimeToWriteItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 4 * time.Second
+		const heardLater = time.Second // by the keeper than by the other daemon
+		h := startHistory()
+		k := h.daemons[h.keeperIndex()]
+		k.mu.Lock()
+		k.storeCutUntil = time.Now().Add(outage + heardLater)
+		k.mu.Unlock()
+		h.mu.Lock()
+		h.storeDownUntil = time.Now().Add(outage)
+		h.mu.Unlock()
+		time.Sleep(outage)
+		h.restore(outage+time.Second, modelRewriteTime)
+		time.Sleep(2 * heardLater)
+		h.mu.Lock()
+		owners, err := follow.DecodeOwners(h.records[follow.OwnersRecordName(modelService, 2)])
+		h.mu.Unlock()
+		h.finish(t)
+		must.NoError(t, err)
+		must.Eq(t, k.self.Name, owners.Keeper)
+		must.False(t, owners.Uncertain)
+	})
+}
