config: the bound for requests to leaving servers comes from the settings

Cause: leaving servers got requests for their keys for 1.5 s on every deployment. The platform's bound is 2 s on some, 2.5 or 3 s on others, and could be less; the same time stood twice, in the gate and in the gateway.

Change: setting fenced.drain_seconds, filled in from the deployment's bounds. The gate takes it less 0.5 s for a request's way; the gateway asks the gate.

Conclusion: nothing changes where the bound is 2 s; at 2.5 and 3 s a server keeps its keys 0.5 and 1 s longer while they have no new owner.

--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -70,7 +70,7 @@
 		stats:       newStats(),
 		limits:      attemptlimit.New(),
 		memory:      bytebudget.New(c.Fenced.MemoryBytes() / responseMemoryDivisor),
-		gate:        sendgate.New(),
+		gate:        sendgate.New(c.Fenced.DrainPeriod()),
 		gateMeters:  newGateMeters(registry),
 		log:         log.Named("backends"),
 		endpoints:   map[model.ServerID]*endpoint{},
--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -105,6 +105,9 @@
 	return b.gate.MaySend(sendgate.ProcessOf(server), now).Reason == sendgate.Leaving
 }
 
+// LeavingGrace returns the time for which a leaving server still gets requests for its keys.
+func (b *Backends) LeavingGrace() time.Duration { return b.gate.Grace() }
+
 // LeavingProcesses returns the server processes that said that they are leaving.
 func (b *Backends) LeavingProcesses() []sendgate.Process { return b.gate.LeavingProcesses() }
 
--- a/internal/backends/herd_test.go
+++ b/internal/backends/herd_test.go
@@ -180,7 +180,7 @@
 		ends := make([]time.Duration, 0, herdDaemons)
 		var last time.Duration
 		for range herdDaemons {
-			end := sendgate.New().RecordPause(sendgate.Process{}, pause, now).Sub(now.Add(pause))
+			end := sendgate.New(0).RecordPause(sendgate.Process{}, pause, now).Sub(now.Add(pause))
 			ends, last = append(ends, end), max(last, end)
 		}
 		var counts [parts + 1]int
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,9 @@
 	// MaxHoldSeconds bounds the time for which a server may own keys without
 	// renewal of its grant. It defaults to DefaultMaxHoldSeconds.
 	MaxHoldSeconds float64 `json:"max_hold_seconds"`
+	// DrainSeconds is the time after which a server that is known to be leaving must get
+	// no more requests. It defaults to DefaultDrainSeconds.
+	DrainSeconds float64 `json:"drain_seconds"`
 	// ReportSeconds is the time between two reports of a server to the store. It defaults
 	// to DefaultReportSeconds.
 	ReportSeconds float64 `json:"report_seconds"`
@@ -86,6 +89,11 @@
 	return time.Duration(f.ReportSeconds * float64(time.Second))
 }
 
+// DrainPeriod returns DrainSeconds as a duration.
+func (f *Fenced) DrainPeriod() time.Duration {
+	return time.Duration(f.DrainSeconds * float64(time.Second))
+}
+
 // MemoryBytes returns MemoryMB in bytes.
 func (f *Fenced) MemoryBytes() int64 { return int64(f.MemoryMB * (1 << 20)) }
 
@@ -121,6 +129,7 @@
 	DefaultRepeatShare     = 0.1 // of Fenced.RepeatShare
 	DefaultRepeatExtra     = 100 // of Fenced.RepeatExtra
 	DefaultMaxHoldSeconds  = 10  // of Fenced.MaxHoldSeconds
+	DefaultDrainSeconds    = 2   // of Fenced.DrainSeconds
 	DefaultReportSeconds   = 1   // of Fenced.ReportSeconds
 )
 
@@ -167,6 +176,7 @@
 		RepeatShare:    DefaultRepeatShare,
 		RepeatExtra:    DefaultRepeatExtra,
 		MaxHoldSeconds: DefaultMaxHoldSeconds,
+		DrainSeconds:   DefaultDrainSeconds,
 		ReportSeconds:  DefaultReportSeconds,
 	}
 	return doc.Decode(c)
@@ -336,6 +346,9 @@
 	if f.MaxHoldSeconds <= 0 {
 		report("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
 	}
+	if f.DrainSeconds < 0 {
+		report("fenced.drain_seconds", "found %v, want 0 or more", f.DrainSeconds)
+	}
 	if f.ReportSeconds < 0 {
 		report("fenced.report_seconds", "found %v, want 0 or more", f.ReportSeconds)
 	}
--- a/internal/daemon/fenced_shutdown_test.go
+++ b/internal/daemon/fenced_shutdown_test.go
@@ -112,7 +112,7 @@
 func (c *cluster) startProcess() (*config.Config, <-chan int) {
 	cfg := &config.Config{
 		Name: "process", Zone: "zone-0", CallerAddress: freeAddress(c.t), ControlAddress: freeAddress(c.t), PlatformAddress: c.store.Address(),
-		Fenced: &config.Fenced{ReadinessAddress: freeAddress(c.t), MemoryMB: 200, Cores: 1, GraceSeconds: 2, RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10},
+		Fenced: &config.Fenced{ReadinessAddress: freeAddress(c.t), MemoryMB: 200, Cores: 1, GraceSeconds: 2, RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10, DrainSeconds: drainBound.Seconds()},
 	}
 	text, err := json.Marshal(cfg)
 	must.NoError(c.t, err)
--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -133,7 +133,7 @@
 		PlatformAddress: c.store.Address(), LogLevel: "info",
 		Fenced: &config.Fenced{
 			ReadinessAddress: anyAddress, MetricsAddress: anyAddress, MemoryMB: 200, Cores: 1, GraceSeconds: 6,
-			RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10,
+			RepeatShare: 0.2, RepeatExtra: 100, MaxHoldSeconds: 10, DrainSeconds: drainBound.Seconds(),
 		},
 	}
 	d, err := daemon.New(cfg, nil, zap.NewNop())
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -20,12 +20,11 @@
 )
 
 const (
-	ownerWaitDivisor      = 3                       // a request waits for an owner for 1/ownerWaitDivisor of its remaining time
-	misdirectedRetryDelay = 100 * time.Millisecond  // time after which a server that rejected a key may have received its grant,
-	misdirectedBackoff    = 3                       // times this at each further rejection: it has rather released the key
-	extraSends            = 2                       // sends beyond the route's MaxServers, for sends that did not run
-	leavingGracePeriod    = 1500 * time.Millisecond // time for which a leaving server still gets requests for its keys
-	minTimeLeft           = 5 * time.Millisecond    // a request with less time left is not sent
+	ownerWaitDivisor      = 3                      // a request waits for an owner for 1/ownerWaitDivisor of its remaining time
+	misdirectedRetryDelay = 100 * time.Millisecond // time after which a server that rejected a key may have received its grant,
+	misdirectedBackoff    = 3                      // times this at each further rejection: it has rather released the key
+	extraSends            = 2                      // sends beyond the route's MaxServers, for sends that did not run
+	minTimeLeft           = 5 * time.Millisecond   // a request with less time left is not sent
 )
 
 // sendWithRetries sends the request until a server answers it or it may not be
@@ -201,7 +200,7 @@
 		return nil
 	}
 	server := snapshot.Servers[keyRange.Server]
-	if server == nil || server.StartedMS != keyRange.StartedMS || (server.Leaving && time.Since(server.LeavingSince) > leavingGracePeriod) {
+	if server == nil || server.StartedMS != keyRange.StartedMS || (server.Leaving && time.Since(server.LeavingSince) > c.gateway.backends.LeavingGrace()) {
 		return nil
 	}
 	if c.gateway.backends.IsLeaving(server, now) {
--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	// leavingGrace is the time for which a leaving server still gets requests that only it
-	// can run, or that were on their way. The platform's bound is 2 s.
-	leavingGrace = 1500 * time.Millisecond
+	// maxTransit is the time that a request may take from this daemon to its server.
+	maxTransit = 500 * time.Millisecond
 	// forgetAfter is the time after which a process that is not registered any more is
 	// forgotten: registrations also lapse during an outage of the store.
 	forgetAfter = 10 * time.Minute
@@ -87,6 +86,9 @@
 
 // Gate holds what server processes said. It is safe for concurrent use.
 type Gate struct {
+	// grace is the time for which a leaving server still gets requests that only it can
+	// run, or that were on their way.
+	grace time.Duration
 	// phase, from 0 to 1, is this daemon's place in the order in which daemons return.
 	phase float64
 
@@ -102,8 +104,15 @@
 	goneSince    time.Time // zero while the process is registered
 }
 
-// New returns a gate that lets all requests pass.
-func New() *Gate { return &Gate{phase: rand.Float64(), processes: map[Process]*statement{}} }
+// New returns a gate that lets all requests pass. No request reaches a server later than
+// drain after it said that it leaves.
+func New(drain time.Duration) *Gate {
+	return &Gate{grace: max(drain-maxTransit, 0), phase: rand.Float64(), processes: map[Process]*statement{}}
+}
+
+// Grace returns the time for which a leaving server still gets requests that only it can
+// run, or that were on their way.
+func (g *Gate) Grace() time.Duration { return g.grace }
 
 // RecordLeaving records that the process said that it is about to shut down. It reports
 // whether this is the first time.
@@ -119,7 +128,8 @@
 }
 
 // RecordPause records that the process wants no requests for a time. It returns the time
-// from which this daemon sends again, which is later than the end by a time of its own. An earlier request for a longer pause stays in force.
+// from which this daemon sends again, which is later than the end by a time of its own. An
+// earlier request for a longer pause stays in force.
 func (g *Gate) RecordPause(p Process, pause time.Duration, now time.Time) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -172,7 +182,7 @@
 
 // MaySend returns whether a request that was chosen for the process, or that only it may
 // run, may be sent. To a leaving one it may for a short time.
-func (g *Gate) MaySend(p Process, now time.Time) Verdict { return g.verdict(p, now, leavingGrace) }
+func (g *Gate) MaySend(p Process, now time.Time) Verdict { return g.verdict(p, now, g.grace) }
 
 func (g *Gate) verdict(p Process, now time.Time, grace time.Duration) Verdict {
 	g.mu.Lock()
--- a/internal/sendgate/sendgate_test.go
+++ b/internal/sendgate/sendgate_test.go
@@ -12,6 +12,11 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
+const (
+	drain = 2500 * time.Millisecond
+	grace = drain - maxTransit
+)
+
 var (
 	start  = time.Date(2026, time.March, 5, 12, 0, 0, 0, time.UTC)
 	first  = Process{Server: "s", Address: "10.0.0.1:80", StartedMS: 1}
@@ -23,12 +28,12 @@
 }
 
 func TestLeavingProcessGetsOnlyOwnRequestsForShortTime(t *testing.T) {
-	g := New()
+	g := New(drain)
 	must.True(t, g.RecordLeaving(first, start))
 	must.False(t, g.RecordLeaving(first, start.Add(time.Second)))
 	must.Eq(t, Verdict{Reason: Leaving}, g.MayChoose(first, start))
-	must.Eq(t, Verdict{}, g.MaySend(first, start.Add(leavingGrace-time.Millisecond)))
-	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start.Add(leavingGrace)))
+	must.Eq(t, Verdict{}, g.MaySend(first, start.Add(grace-time.Millisecond)))
+	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start.Add(grace)))
 	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start.Add(time.Hour)))
 	must.Eq(t, Verdict{}, g.MayChoose(second, start.Add(time.Hour)))
 	must.Eq(t, []Process{first}, g.LeavingProcesses())
@@ -38,7 +43,7 @@
 // all pass once the jitter has passed too.
 func TestPauseEndsAfterLongestOneAsked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := New()
+		g := New(drain)
 		now, end := start, start
 		for range rapid.IntRange(1, 5).Draw(t, "pauses") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "later, ms")) * time.Millisecond)
@@ -55,7 +60,7 @@
 }
 
 func TestProcessIsForgottenWhenItIsSurelyGone(t *testing.T) {
-	g := New()
+	g := New(drain)
 	g.RecordLeaving(first, start)
 	g.Prune(nil, start)
 	g.Prune(nil, start.Add(forgetAfter-time.Second))
@@ -70,7 +75,7 @@
 }
 
 func TestNumberOfProcessesIsBounded(t *testing.T) {
-	g := New()
+	g := New(drain)
 	for i := range maxProcesses + 5 {
 		g.RecordPause(Process{Server: model.ServerID(strconv.Itoa(i))}, time.Hour, start.Add(time.Duration(i)))
 	}
@@ -94,3 +99,10 @@
 	must.Greater(t, 50, len(seen))
 	must.Positive(t, Verdict{Reason: Leaving}.RetryAfter(0, start))
 }
+
+// A bound that is shorter than the way to the server leaves no time.
+func TestGraceIsNotNegative(t *testing.T) {
+	g := New(maxTransit / 2)
+	g.RecordLeaving(first, start)
+	must.Eq(t, Verdict{Reason: Leaving}, g.MaySend(first, start))
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -62,6 +62,7 @@
 		Fenced: &config.Fenced{
 			ReadinessAddress: f.ports.next(), MetricsAddress: f.ports.next(), MemoryMB: memoryMB, Cores: 1,
 			GraceSeconds: graceSeconds, RepeatShare: retryShare, RepeatExtra: retryExtra, MaxHoldSeconds: maxHoldSeconds,
+			DrainSeconds: drainBound.Seconds(),
 		},
 	}
 	if d.toCallers, err = newLink(f.ports.next(), d.config.CallerAddress); err != nil {
