backends: a pause that begins while a connection opens holds its requests back

Cause: the gate was asked before a connection was dialed. Requests that waited for connections when the server asked for a pause were sent when these opened, up to 32 of them, and later than half a second into the pause if the server was slow to accept.

Change: httplink.DoIf asks again once it has the connection; nothing is sent then, and the connection is kept. What the gate holds back does not count as a failure of the server.

Conclusion: the gate has the last word before the first byte of each request.

--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -28,6 +29,13 @@
 	return fmt.Sprintf("server %s had asked for a pause, until %s", e.Server, e.Verdict.Until.UTC().Format(time.RFC3339Nano))
 }
 
+// isHeld reports whether the error is that of a request that was not sent, or turned away,
+// because of what its server said.
+func isHeld(err error) bool {
+	var held *HeldError
+	return errors.As(err, &held)
+}
+
 // gateMeters counts what the gate does.
 type gateMeters struct {
 	pauses     *metrics.Counter // responses that asked for a pause
--- a/internal/backends/gate_test.go
+++ b/internal/backends/gate_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
+	"github.com/chicorylug/chicorylug/internal/httplink"
+	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/sendgate"
 )
 
@@ -29,6 +34,38 @@
 	must.Eq(t, 1, b.gateMeters.held[sendgate.Paused].Get())
 }
 
+// unchangedRequests is a dialect that adds nothing to requests.
+type unchangedRequests struct{ dialect.Dialect }
+
+func (unchangedRequests) WriteServerRequest(*fasthttp.RequestHeader, time.Duration, model.ServerID) {}
+
+// Requests whose connections were still being opened when the server asked for a pause
+// are not sent over them, and the server does not count as failing.
+func TestRequestIsHeldBackWhenItsConnectionOpensInPause(t *testing.T) {
+	h := newHerd(t)
+	b, server := h.daemons[0], h.servers[0]
+	b.dialect = unchangedRequests{}
+	toServer, atServer := net.Pipe()
+	pool := httplink.NewPool("server", 1, func(string) (net.Conn, error) {
+		b.RecordSigns(server, "earlier", &dialect.ServerResponse{HasPause: true, Pause: time.Minute})
+		return toServer, nil
+	})
+	e := &endpoint{server: server, pool: pool}
+	b.endpoints[server.ID] = e
+	received := make(chan []byte, 1)
+	go func() {
+		sent, _ := io.ReadAll(atServer)
+		received <- sent
+	}()
+	result := b.Send(context.Background(), &Attempt{ID: "waiting", Server: server, Request: &fasthttp.Request{}, Deadline: time.Now().Add(time.Second)})
+	pool.Close()
+	must.SliceEmpty(t, <-received)
+	must.Eq(t, NotRun, result.Execution)
+	must.False(t, result.Sent)
+	must.True(t, isHeld(result.Err))
+	must.True(t, e.state.ejectedUntil.IsZero())
+}
+
 // In a large service only some servers are considered for a request. The one that takes
 // requests is found all the same.
 func TestOnlyServerWithoutPauseIsFoundAmongMany(t *testing.T) {
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -137,7 +137,7 @@
 
 // exchange sends the request and reads the response.
 func (b *Backends) exchange(ctx context.Context, e *endpoint, a *Attempt, response *fasthttp.Response) Result {
-	exchange, failure := e.pool.Do(ctx, a.Request, response)
+	exchange, failure := e.pool.DoIf(ctx, a.Request, response, func() error { return b.mayWrite(a) })
 	if failure != nil {
 		if failure.Sent {
 			return Result{Execution: MayHaveRun, Sent: true, Err: failure}
@@ -166,6 +166,15 @@
 	return b.classify(response, headers, pause)
 }
 
+// mayWrite returns an error if the attempt's server has said, while the connection was
+// opened, that it leaves or wants no requests for a time.
+func (b *Backends) mayWrite(a *Attempt) error {
+	if held := b.Held(a.Server, a.ID, time.Now()); held != nil {
+		return held
+	}
+	return nil
+}
+
 // classify returns the result for a complete response. A response that lacks the
 // server's signature header or has a content encoding is not passed on, and the request
 // counts as one that may have run. pause is nil unless the server asked for a pause.
@@ -256,10 +265,10 @@
 		b.stats.recordResponseSize(a.Server.Service, len(r.Response.Body()))
 		e.state.recordOutcome(r.Response.StatusCode() >= fasthttp.StatusInternalServerError, now)
 		b.stats.recordResponse(a.Server.Service, a.Server.ID, a.Keyed, took, load.Running+load.Waiting)
+	case isHeld(r.Err):
+		// The server is not full or failing: the gate keeps what it said.
 	case r.Misdirected:
 		// The key's owner has changed: this is not a failure of the server.
-	case r.Paused:
-		// The server is not full or failing: the gate keeps its pause.
 	case r.Execution == NotRun && r.Sent:
 		e.state.eject(now, shedEjection)
 		if a.Keyed {
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -34,6 +34,12 @@
 // request's body ends early, its end is not sent, so that the peer cannot take it for
 // complete.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, *Failure) {
+	return p.DoIf(ctx, req, resp, func() error { return nil })
+}
+
+// DoIf is Do, but calls mayWrite when it has a connection. If mayWrite returns an error,
+// nothing is sent and the exchange fails with it.
+func (p *Pool) DoIf(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, mayWrite func() error) (*Exchange, *Failure) {
 	if ctx.Err() != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
@@ -45,6 +51,10 @@
 		p.release(c)
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
+	if err := mayWrite(); err != nil {
+		p.release(c)
+		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
+	}
 	c.written, c.writeErr = 0, nil
 	e := &Exchange{pool: p, conn: c, resp: resp, ctx: ctx}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
