gateway: a server's own answer is passed on when no other server can take the request

Cause: a 5xx answer to an idempotent request was dropped for a retry before it was known that a server is left for it. While the server paused, or with no other one untried, the caller got 502 in place of the answer.

Change: no retry if none is left: for a key, when the owner asked for a pause; otherwise, when no server that takes requests is untried. The stand-in plays a 503 with Retry-After for a request that has run.

Measured: TestAnswerWithPauseIsPassedOn got 502 with the new case of mayRetry taken out (both paths), passes with it, and so does TestOnlyResponsesWithWrongAttemptIDAreNotForwarded (once).

--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -60,7 +60,7 @@
 	// Misdirected says that the server rejected the request because it does not own
 	// the key or is not the expected server.
 	Misdirected bool
-	// Paused says that the server rejected the request and asked for a pause.
+	// Paused says that the server asked for a pause in its response.
 	Paused bool
 	// Sent says that a byte of the request may have reached the server.
 	Sent bool
@@ -191,7 +191,7 @@
 	case len(response.Header.ContentEncoding()) > 0:
 		return Result{Execution: MayHaveRun, Sent: true, Err: errContentEncoded}
 	default:
-		return Result{Execution: Ran, Sent: true, Response: response}
+		return Result{Execution: Ran, Sent: true, Paused: pause != nil, Response: response}
 	}
 }
 
--- a/internal/daemon/fenced_pause_test.go
+++ b/internal/daemon/fenced_pause_test.go
@@ -169,3 +169,37 @@
 		})
 	}
 }
+
+// A server that asks for a pause in its own answer to a request, which has run, is left
+// alone; the caller gets that answer and no other one in its place.
+func TestAnswerWithPauseIsPassedOn(t *testing.T) {
+	for _, target := range []struct {
+		path string
+		key  int
+	}{{"/list/x", -1}, {"/read/x", 7}} {
+		t.Run(target.path, func(t *testing.T) {
+			c := newListCluster(t, 1, manySlots)
+			for _, s := range c.servers {
+				s.SetFaults(fenced.Faults{PauseAfterRun: "30"})
+			}
+			answer := c.send(c.daemons[0], "GET", target.path, target.key, "")
+			must.Eq(t, 503, answer.status)
+			must.NotEq(t, "", answer.signature)
+			must.Eq(t, "30", answer.retryAfter)
+			arrived := c.arrivals()
+			refused := c.send(c.daemons[0], "GET", target.path, target.key, "")
+			must.Eq(t, 503, refused.status)
+			must.Eq(t, "", refused.signature)
+			must.Eq(t, arrived, c.arrivals())
+		})
+	}
+}
+
+// arrivals returns how many requests have reached the servers.
+func (c *cluster) arrivals() int {
+	total := 0
+	for _, s := range c.servers {
+		total += s.Arrivals()
+	}
+	return total
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -248,6 +248,15 @@
 	return func() bool { return !g.draining.Load() && g.backends.RetryBudget().Allows(service) }
 }
 
+// hasServerLeft reports whether a server is left that takes the request now, after the
+// one that gave the result.
+func (c *call) hasServerLeft(result backends.Result) bool {
+	if c.requiresOwner() {
+		return !result.Paused
+	}
+	return c.hasUntriedServer()
+}
+
 // hasUntriedServer reports whether a server is left that the request was not sent to.
 func (c *call) hasUntriedServer() bool {
 	now := time.Now()
@@ -309,6 +318,8 @@
 		return false
 	case !result.Sent:
 		return true
+	case result.Response != nil && !c.hasServerLeft(result):
+		return false // the caller gets the server's own answer
 	case c.requiresOwner() && result.Execution == backends.NotRun && !result.Misdirected:
 		return false // the only server that may run the request did not accept it
 	default:
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -61,6 +61,9 @@
 	SayLeaving bool
 	// Pause, if not empty, rejects every request with this Retry-After value.
 	Pause string
+	// PauseAfterRun, if not empty, answers each request with status 503 and this Retry-After
+	// value after it has run.
+	PauseAfterRun string
 	// WrongAttemptID sends the attempt id of another request in each response.
 	WrongAttemptID bool
 	// Unframed sends responses without a length, whose end is the end of the connection.
@@ -390,6 +393,9 @@
 		return
 	case f.WrongAttemptID:
 		id = "another"
+	case f.PauseAfterRun != "":
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, f.PauseAfterRun)
 	case f.FailAll:
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
