--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -28,6 +29,13 @@
 	return fmt.Sprintf("server %s had asked for a pause, until %s", e.Server, e.Verdict.Until.UTC().Format(time.RFC3339Nano))
 }
 
+// isHeld reports whether the error is that of a request that was not sent, or turned away,
+// because of what its server said.
+func isHeld(err error) bool {
+	var held *HeldError
+	return errors.As(err, &held)
+}
+
 // gateMeters counts what the gate does.
 type gateMeters struct {
 	pauses     *metrics.Counter // responses that asked for a pause
@@ -105,6 +113,9 @@
 	return b.gate.MaySend(sendgate.ProcessOf(server), now).Reason == sendgate.Leaving
 }
 
+// LeavingGrace returns the time for which a leaving server still gets requests for its keys.
+func (b *Backends) LeavingGrace() time.Duration { return b.gate.Grace() }
+
 // LeavingProcesses returns the server processes that said that they are leaving.
 func (b *Backends) LeavingProcesses() []sendgate.Process { return b.gate.LeavingProcesses() }
 
