ownership: the target of a drained move serves while the store is down

Cause: a move writes its intent, the old owner stops sending for the shard, and only a second write gives the shard to the target. When the store goes down between the two, no server may run requests for the shard until the store is back.

Change: that a move has drained is a stable fact (DrainedMove), identified by the shard's row in the intent. When the ending write has not succeeded 200 ms after the drain, the coordinator spreads the fact, with or without a valid lease, and each daemon applies it to any version that still has this row: entries route to the target and its dispatcher sends, both under the next epoch. The end of a move now depends on nothing but the intent: it goes to the target even when that is lost, and on from there by a move of its own that waits for the target's dispatchers. Acknowledgements count while the lease is not valid. Shards that drain for a split are not served early.

The model test takes the table down between intent and end; there the coordinator is killed, paused or cut off, the target lost, dispatchers cut off. New checks: epochs under which a shard is sent rise; a replica is a version of the table with its known drained moves ended. More actions give other histories for the same seed. -rapid.checks and -rapid.seed of the command line now count; without them it runs what it ran.

An outage of the store leaves a moving shard without a server only when the coordinator is lost before it knows of the drain, when the target is lost too, or when the shard is split.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -266,7 +266,7 @@
 		return
 	}
 	a.store.ApplyDelta(update)
-	if assignment := a.store.Get(update.Pool); assignment != nil {
+	if assignment := a.store.Current(update.Pool); assignment != nil {
 		a.assignmentChanged(assignment)
 	}
 }
--- a/internal/assignments/store.go
+++ b/internal/assignments/store.go
@@ -1,6 +1,7 @@
 // Package assignments stores the newest assignment of each pool that this daemon has
 // received. It publishes each one to the directory, which request handling reads, and
-// spreads it to the other daemons as deltas between versions.
+// spreads it to the other daemons as deltas between versions. Drained moves are spread
+// beside the versions and appear as ended in what is published.
 package assignments
 
 import (
@@ -30,8 +31,11 @@
 	directory *directory.Directory
 	log       *zap.Logger
 
+	drainedItems *spread.Map // holds the drained moves for the other daemons; see MarkDrained
+
 	mu        sync.Mutex
 	history   map[model.PoolName][]*ownership.Assignment // oldest first; the last is the newest
+	drained   map[model.PoolName]map[model.ShardID]ownership.DrainedMove
 	listeners []func(*ownership.Assignment)
 }
 
@@ -43,20 +47,24 @@
 		directory: dir,
 		log:       log.Named(string(topicAssignments)),
 		history:   map[model.PoolName][]*ownership.Assignment{},
+		drained:   map[model.PoolName]map[model.ShardID]ownership.DrainedMove{},
 	}
+	store.drainedItems = spread.NewMap(topicDrained, store.drainedItemChanged)
 	s.Add(store)
+	s.Add(store.drainedItems)
 	return store
 }
 
-// OnChange registers f, which is called on the control goroutine with each newer assignment.
-// It must be called before any service starts.
+// OnChange registers f, which is called on the control goroutine with each newer assignment,
+// as Current returns it. It must be called before any service starts.
 func (s *Store) OnChange(f func(*ownership.Assignment)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listeners = append(s.listeners, f)
 }
 
-// Get returns a pool's newest assignment, or nil when there is none.
+// Get returns the newest version of a pool's assignment that the table is known to have
+// held, or nil when there is none.
 func (s *Store) Get(pool model.PoolName) *ownership.Assignment {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,7 +86,7 @@
 	if !s.add(a) {
 		return false
 	}
-	s.loop.Post(func() { s.publish(a) })
+	s.loop.Post(func() { s.publish(a.Pool) })
 	s.spread.SchedulePush(topicAssignments)
 	return true
 }
@@ -98,10 +106,11 @@
 	return true
 }
 
-// publish publishes an assignment to the directory and calls the listeners, unless the
-// directory already has one at least as new. It runs on the control goroutine.
-func (s *Store) publish(a *ownership.Assignment) {
-	if published := s.directory.Load().Pools[a.Pool]; published != nil && published.Seq >= a.Seq {
+// publish publishes a pool's current assignment to the directory and calls the listeners,
+// unless the directory already has one at least as new. It runs on the control goroutine.
+func (s *Store) publish(pool model.PoolName) {
+	a := s.Current(pool)
+	if a == nil || !a.NewerThan(s.directory.Load().Pools[pool]) {
 		return
 	}
 	s.directory.PublishAssignment(a)
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -53,6 +53,8 @@
 	servers        map[model.ServerID]*serverState
 	loads          loadTable
 	lastBalance    time.Time // last round that was allowed to move shards for balance
+	// drainedSince tells, for each move that has drained but not ended, when this was seen.
+	drainedSince map[ownership.DrainedMove]time.Time
 }
 
 // leaseState is the validity of the lease on this daemon's clock, shared by the
@@ -139,6 +141,7 @@
 			return
 		}
 	}
+	go ctl.announceDrained(ctx)
 	for {
 		again := ctl.holdsLease() && ctl.round(ctx)
 		if again {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -174,6 +174,7 @@
 	err := c.loop.Call(ctx, func() {
 		ctl := c.controllerOf(request.Pool)
 		if ctl == nil || !ctl.mayServe() {
+			ctl.applyAckWithoutLease(request.Ack)
 			c.counters.refused(1)
 			response.Refusal = &ctlproto.Refusal{Code: ctlproto.NotCoordinator, Term: c.newestTerm(request.Pool)}
 			return
--- a/internal/ownership/assignment.go
+++ b/internal/ownership/assignment.go
@@ -24,6 +24,9 @@
 	// HotKeys lists the keys that have a shard of their own, or will get one.
 	HotKeys []HotKey `json:"hot_keys,omitempty"`
 	Servers []Server `json:"servers"`
+	// EndedMoves is the number of moves that WithDrained ended in this copy; zero
+	// in the version that the table has.
+	EndedMoves int `json:"-"`
 }
 
 // Coordinator identifies the daemon that controls a pool.
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,23 +31,38 @@
 // servers owning a shard at the same time, and checks the invariants after
 // every step.
 func TestProtocolKeepsOneOwner(t *testing.T) {
-	must.NoError(t, flag.Set("rapid.checks", fmt.Sprint(modelHistories)))
-	must.NoError(t, flag.Set("rapid.seed", fmt.Sprint(modelSeed)))
+	setDefault(t, "rapid.checks", modelHistories)
+	setDefault(t, "rapid.seed", modelSeed)
 	must.NoError(t, flag.Set("rapid.steps", "250"))
 	must.NoError(t, flag.Set("rapid.nofailfile", "true"))
-	moves, barriers, attested := 0, 0, 0
+	histories, moves, barriers, attested, early, outages := 0, 0, 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModelCluster(t)
 		m.settle()
 		t.Repeat(m.actions())
+		histories++
 		moves += m.moves
 		barriers += m.barriers
 		attested += m.attested
+		early += m.early
+		outages += m.outages
 	})
-	t.Logf("%d moves, %d barriers and %d attested permits in %d histories", moves, barriers, attested, modelHistories)
+	t.Logf("%d moves, %d barriers, %d attested permits, %d outages during moves and %d requests before the end of a move in %d histories",
+		moves, barriers, attested, outages, early, histories)
 	must.Positive(t, moves)
 	must.Positive(t, barriers)
 	must.Positive(t, attested)
+	must.Positive(t, early)
+	must.Positive(t, outages)
+}
+
+// setDefault sets a flag unless the command line sets it.
+func setDefault(t *testing.T, name string, value int) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		must.NoError(t, flag.Set(name, fmt.Sprint(value)))
+	}
 }
 
 // modelDaemon is a daemon with its current incarnation.
@@ -56,7 +72,9 @@
 	stopped     bool
 	paused      bool
 	partition   partition
-	replica     *Replica
+	newest      *Assignment   // newest version of the table that the daemon has received
+	drained     []DrainedMove // moves of which the daemon knows that they have drained
+	replica     *Replica      // has newest with the drained moves ended
 	witness     *Witness
 	coord       *modelCoordinator
 	watch       LeaseWatch
@@ -100,6 +118,7 @@
 type modelRequest struct {
 	server      model.ServerID
 	shard       model.ShardID
+	epoch       model.Epoch
 	incarnation model.Incarnation // of the dispatcher that sent it
 	deadline    time.Time
 	done        bool
@@ -125,8 +144,11 @@
 
 	network  []func() // messages in transit
 	requests []*modelRequest
+	epochs   map[model.ShardID]model.Epoch // highest epoch under which a request was sent
 
 	moves, barriers, attested int // completed moves, completed barriers, and permits renewed by attestations
+	early                     int // requests sent to the target of a move before the table showed its end
+	outages                   int // outages of the table that began while a shard moved, in outageDuringMove
 }
 
 func newModelCluster(*rapid.T) *modelCluster {
@@ -136,6 +158,7 @@
 		stopped: map[model.Incarnation]bool{},
 		row:     &Assignment{Pool: "pool"},
 		history: map[model.Seq]*Assignment{},
+		epochs:  map[model.ShardID]model.Epoch{},
 	}
 	for i := range modelServers {
 		m.servers[model.ServerID(fmt.Sprintf("s%d", i))] = ServerActive
@@ -158,6 +181,7 @@
 	m.incarnations++
 	d.incarnation = model.Incarnation(fmt.Sprintf("%s.%d", d.id, m.incarnations))
 	d.stopped, d.paused, d.partition, d.coord = false, false, notPartitioned, nil
+	d.newest, d.drained = nil, nil
 	d.replica = NewReplica(d.id, d.incarnation)
 	d.witness = NewWitness()
 	d.watch = LeaseWatch{}
@@ -165,8 +189,9 @@
 
 // actions returns the actions of which a history consists. rapid chooses among them
 // sorted by name, so other names would give other histories for modelSeed. "tell"
-// begins a barrier, "spread" is gossip, "inform" syncs a witness, and "cut" and
-// "heal" begin and end a partition. rapid runs the action "" after each action.
+// begins a barrier, "spread" is gossip, "inform" syncs a witness, "cut" and "heal"
+// begin and end a partition, and "drained" announces drained moves. rapid runs the
+// action "" after each action.
 func (m *modelCluster) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"time passes":   func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond) },
@@ -193,6 +218,8 @@
 		"cut":           func(t *rapid.T) { m.partitionDaemon(t, m.drawDaemon(t)) },
 		"heal":          func(t *rapid.T) { m.drawDaemon(t).partition = notPartitioned },
 		"two faults":    m.twoFaults,
+		"drained":       func(t *rapid.T) { m.announceDrained(m.drawActor(t)) },
+		"move outage":   m.outageDuringMove,
 		"store":         func(t *rapid.T) { m.storeDown = !m.storeDown },
 		"server":        m.changeServer,
 		"":              m.check,
@@ -453,7 +480,7 @@
 	c.version = write.expect + 1
 	c.current = write.next
 	d.witness.Observe("pool", write.next.Seq)
-	d.replica.Advance(write.next)
+	d.receive(write.next)
 	for _, change := range write.changes {
 		if change.Kind == ChangeMoveEnded {
 			m.moves++
@@ -547,7 +574,7 @@
 	}
 	current := c.current
 	m.send(from, func() {
-		from.replica.Advance(current)
+		from.receive(current)
 		from.witness.Observe("pool", current.Seq)
 		from.replica.Confirm(current.Seq, asked)
 	})
@@ -626,11 +653,12 @@
 	}
 }
 
-// gossip sends one daemon's assignment to another.
+// gossip sends one daemon's assignment and drained moves to another.
 func (m *modelCluster) gossip(from, to *modelDaemon) {
-	if assignment := from.replica.Assignment(); assignment != nil && isRunning(from) && from.partition != partitionedFromAll && to.partition == notPartitioned {
+	if assignment := from.newest; assignment != nil && isRunning(from) && from.partition != partitionedFromAll && to.partition == notPartitioned {
+		drained := from.drained
 		m.send(to, func() {
-			to.replica.Advance(assignment)
+			to.receive(assignment, drained...)
 			to.witness.Observe("pool", assignment.Seq)
 		})
 	}
@@ -639,8 +667,11 @@
 // request sends a request for a random shard under each permit of a daemon that
 // allows it.
 func (m *modelCluster) request(t *rapid.T) {
-	d := m.drawDaemon(t)
-	shard := model.ShardID(rapid.IntRange(0, modelShards-1).Draw(t, "shard"))
+	m.requestAt(t, m.drawDaemon(t), model.ShardID(rapid.IntRange(0, modelShards-1).Draw(t, "shard")))
+}
+
+// requestAt sends a request for the shard under each permit of the daemon that allows it.
+func (m *modelCluster) requestAt(t *rapid.T, d *modelDaemon, shard model.ShardID) {
 	if !isRunning(d) {
 		return
 	}
@@ -652,7 +683,25 @@
 		if permit.Until.Before(deadline) {
 			deadline = permit.Until
 		}
-		m.requests = append(m.requests, &modelRequest{server: permit.Server.Server, shard: shard, incarnation: d.incarnation, deadline: deadline})
+		m.sendRequest(t, d, &modelRequest{
+			server:      permit.Server.Server,
+			shard:       shard,
+			epoch:       permit.Shards[shard],
+			incarnation: d.incarnation,
+			deadline:    deadline,
+		})
+	}
+}
+
+// sendRequest records a request and checks that the epochs of its shard rise.
+func (m *modelCluster) sendRequest(t *rapid.T, d *modelDaemon, request *modelRequest) {
+	if highest := m.epochs[request.shard]; request.epoch < highest {
+		t.Fatalf("%s sends for shard %d under epoch %d after epoch %d", d.incarnation, request.shard, request.epoch, highest)
+	}
+	m.epochs[request.shard] = request.epoch
+	m.requests = append(m.requests, request)
+	if m.row.Shards[request.shard].Epoch < request.epoch {
+		m.early++
 	}
 }
 
@@ -689,7 +738,7 @@
 		d.witness.Observe("pool", m.row.Seq)
 		d.witness.MarkSynced()
 		if m.row.Seq > 0 {
-			d.replica.Advance(m.row)
+			d.receive(m.row)
 		}
 		return
 	}
@@ -749,12 +798,130 @@
 // the table, and is not newer than the row.
 func (m *modelCluster) checkPublished(t *rapid.T) {
 	for _, d := range m.daemons {
-		assignment := d.replica.Assignment()
+		assignment := d.newest
 		if assignment == nil {
 			continue
 		}
 		if m.history[assignment.Seq] != assignment || assignment.Seq > m.row.Seq {
 			t.Fatalf("%s has seq %d, which the table does not have", d.id, assignment.Seq)
 		}
+		if want := assignment.WithDrained(d.drained); d.replica.Seq() != want.Seq || !slices.Equal(d.replica.Assignment().Shards, want.Shards) {
+			t.Fatalf("%s has shards %v, want %v", d.id, d.replica.Assignment().Shards, want.Shards)
+		}
+	}
+}
+
+// receive stores an assignment of the table and drained moves.
+func (d *modelDaemon) receive(assignment *Assignment, drained ...DrainedMove) {
+	if assignment.NewerThan(d.newest) {
+		d.newest = assignment
+	}
+	for _, move := range drained {
+		if !slices.Contains(d.drained, move) {
+			d.drained = append(d.drained, move)
+		}
+	}
+	d.replica.Advance(d.newest.WithDrained(d.drained))
+}
+
+// announceDrained makes a coordinator, with or without a valid lease, tell all daemons
+// that it reaches which moves of its assignment have drained.
+func (m *modelCluster) announceDrained(d *modelDaemon) {
+	c := d.coord
+	if !isRunning(d) || c == nil || c.current == nil {
+		return
+	}
+	m.passBarrier(c)
+	assignment := c.current
+	moves := DrainedMoves(assignment, m.view(d, c))
+	for _, to := range m.daemons {
+		if len(moves) > 0 && (to == d || m.reaches(d, to)) {
+			m.send(to, func() { to.receive(assignment, moves...) })
+		}
+	}
+}
+
+// outageDuringMove begins moves away from a server and takes the table down before they
+// end. The targets serve early; then the coordinator, the targets or their dispatchers
+// may fail, and the table may come back.
+func (m *modelCluster) outageDuringMove(t *rapid.T) {
+	d := m.beginOutage(t)
+	if d == nil {
+		return
+	}
+	late := m.delayAnswer(t, d)
+	m.announceDrained(d)
+	m.flush()
+	m.requestMoving(t, d.coord.current)
+	m.check(t)
+	m.failDuringOutage(t, d)
+	m.check(t)
+	m.storeDown = false
+	if rapid.Bool().Draw(t, "lease lapses") {
+		m.advance(LeaseDuration + 2*ClockMargin)
+	}
+	m.settle()
+	m.check(t)
+	m.request(t)
+	m.announceDrained(d)
+	late()
+	m.settle()
+}
+
+// requestMoving makes all daemons request the moving shards of an assignment.
+func (m *modelCluster) requestMoving(t *rapid.T, assignment *Assignment) {
+	for id, shard := range assignment.Shards {
+		if shard.Next == "" {
+			continue
+		}
+		for _, d := range m.daemons {
+			m.requestAt(t, d, model.ShardID(id))
+		}
+	}
+}
+
+// beginOutage makes a server leave and takes the table down once the moves of its
+// shards are written. It returns the coordinator, or nil when nothing moves.
+func (m *modelCluster) beginOutage(t *rapid.T) *modelDaemon {
+	m.settle()
+	m.changeServer(t)
+	for _, d := range m.daemons {
+		m.round(d)
+		m.flush()
+		if d.coord == nil || d.coord.current != m.row || !slices.ContainsFunc(m.row.Shards, func(s Shard) bool { return s.Next != "" }) {
+			continue
+		}
+		m.storeDown = true
+		m.outages++
+		for _, other := range m.daemons {
+			m.renew(other)
+			m.flush()
+			m.renew(other)
+		}
+		m.flush()
+		return d
+	}
+	return nil
+}
+
+// failDuringOutage makes a server, or the coordinator d, fail.
+func (m *modelCluster) failDuringOutage(t *rapid.T, d *modelDaemon) {
+	if rapid.Bool().Draw(t, "target lost") {
+		for _, shard := range d.coord.current.Shards {
+			if shard.Next != "" {
+				m.servers[shard.Next] = ServerLost
+			}
+		}
+	}
+	switch rapid.IntRange(0, 4).Draw(t, "coordinator") {
+	case 0:
+		m.kill(d)
+	case 1:
+		d.paused = true
+	case 2:
+		d.partition = partitionedFromAll
+	}
+	if rapid.Bool().Draw(t, "dispatcher fails") {
+		m.partitionDaemon(t, m.drawDaemon(t))
 	}
 }
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -174,66 +174,22 @@
 func (p *planner) endMoves() {
 	for id := range p.next.Shards {
 		shard := &p.next.Shards[id]
-		if shard.Next == "" || !p.drained(model.ShardID(id), shard) {
+		if shard.Next == "" || !p.next.drained(model.ShardID(id), p.view) {
 			continue
 		}
 		p.endMove(model.ShardID(id), shard)
 	}
 }
 
-// drained reports whether no request on a moving shard can still run at its
-// present owner.
-func (p *planner) drained(id model.ShardID, shard *Shard) bool {
-	server := p.next.Server(shard.Server)
-	if server == nil {
-		return true
-	}
-	for i := range server.Dispatchers {
-		if !p.view.shardDrained(server.ID, &server.Dispatchers[i], shard.MoveSeq, id) {
-			return false
-		}
-	}
-	return true
-}
-
-// endMove makes the target the owner under the next epoch. When the target has
-// been lost meanwhile, another server is chosen; when there is none, the shard
-// stays where it is.
+// endMove makes the target the owner under the next epoch, even when the target
+// has been lost meanwhile: it may serve the shard already (see DrainedMove), so it
+// must drain before another server gets the shard.
 func (p *planner) endMove(id model.ShardID, shard *Shard) {
-	target := p.next.Server(shard.Next)
-	if target == nil || target.State == ServerLost {
-		shard.Next = p.placeShard(id, shard)
-	}
-	if shard.Next == "" {
-		shard.Next = shard.Server
-	}
 	p.addChange(ChangeMoveEnded, fmt.Sprintf("shard %d", id), fmt.Sprintf("nothing runs at %s; %s owns it", shard.Server, shard.Next))
-	shard.Server = shard.Next
-	shard.Next = ""
-	shard.MoveSeq = 0
-	shard.Epoch++
+	*shard = shard.afterMove()
 	p.finishSplit(id, shard)
 }
 
-// placeShard returns the best server for one shard, or "" when no server can
-// take it.
-func (p *planner) placeShard(id model.ShardID, shard *Shard) model.ServerID {
-	in := p.placementInput()
-	for i := range in.Shards {
-		in.Shards[i].Moving = in.Shards[i].ID != id
-		if in.Shards[i].ID == id {
-			in.Shards[i].Owner = ""
-		}
-	}
-	in.MoveBudget = 0
-	for _, move := range placement.Decide(in) {
-		if move.Shard == id {
-			return move.To
-		}
-	}
-	return ""
-}
-
 // beginMoves starts the moves that placement chooses. A shard without an owner
 // is assigned at once, since there is nothing to drain.
 func (p *planner) beginMoves() {
--- a/internal/ownership/plan_test.go
+++ b/internal/ownership/plan_test.go
@@ -56,6 +56,55 @@
 	must.Eq(t, owner.Epoch+1, split.Shards[parent].Epoch)
 }
 
+// TestMoveEndsAtItsTargetWhenThatIsLost guards against a move that ends at another server
+// while its target may serve the shard already.
+func TestMoveEndsAtItsTargetWhenThatIsLost(t *testing.T) {
+	view := testView()
+	view.Servers = append(view.Servers, ListedServer{ID: "s3", State: ServerActive, Weight: 1})
+	first := firstAssignment(t, view)
+	const id = 0
+	owner := first.Shards[id]
+	setServerState(&view, owner.Server, ServerLeaving)
+	began, _ := Plan(first, view)
+	target := began.Shards[id].Next
+	must.NotEq(t, owner.Server, target)
+
+	view.Acks["d1"] = Ack{Daemon: "d1", Incarnation: "life", Seq: began.Seq}
+	early := began.WithDrained(DrainedMoves(began, view))
+	must.Eq(t, Shard{Server: target, Epoch: owner.Epoch + 1}, early.Shards[id])
+
+	setServerState(&view, target, ServerLost)
+	ended, _ := Plan(began, view)
+	must.Eq(t, target, ended.Shards[id].Server)
+	must.Eq(t, owner.Epoch+1, ended.Shards[id].Epoch)
+	must.NotEq(t, "", ended.Shards[id].Next)
+	must.Eq(t, ended.Seq, ended.Shards[id].MoveSeq)
+}
+
+// setServerState sets the state of a listed server.
+func setServerState(view *View, id model.ServerID, state ServerState) {
+	for i := range view.Servers {
+		if view.Servers[i].ID == id {
+			view.Servers[i].State = state
+		}
+	}
+}
+
+// TestShardThatIsSplitIsNotServedBeforeTheTableShowsIt guards against requests for a hot
+// key under its parent's next epoch, which would run beside those of its own shard.
+func TestShardThatIsSplitIsNotServedBeforeTheTableShowsIt(t *testing.T) {
+	view := testView()
+	first := firstAssignment(t, view)
+	parent := first.ShardOf(testKey)
+	view.HotKeyLoads = []KeyLoad{{Key: testKey, Shard: parent, Rate: 1000}}
+	began, _ := Plan(first, view)
+	view.Acks["d1"] = Ack{Daemon: "d1", Incarnation: "life", Seq: began.Seq}
+
+	must.SliceEmpty(t, DrainedMoves(began, view))
+	moves := []DrainedMove{{ID: parent, Shard: began.Shards[parent]}}
+	must.Eq(t, began, began.WithDrained(moves))
+}
+
 func TestDeltaLeadsToTheSameAssignment(t *testing.T) {
 	view := testView()
 	first := firstAssignment(t, view)
--- a/internal/ownership/replica.go
+++ b/internal/ownership/replica.go
@@ -25,10 +25,10 @@
 	return &Replica{daemon: daemon, incarnation: incarnation}
 }
 
-// Advance installs the assignment if it is newer than the present one, and
-// reports whether it was.
+// Advance installs the assignment if it is newer than the present one (see
+// NewerThan), and reports whether it was.
 func (r *Replica) Advance(a *Assignment) bool {
-	if r.assignment != nil && a.Seq <= r.assignment.Seq {
+	if !a.NewerThan(r.assignment) {
 		return false
 	}
 	r.assignment = a
