follow: registrations are judged by answers about registrations

What callers would see: after a return to an older copy a server that lives gets no requests until its next report is read, or one that has left gets some (DRAIN), while the store answers polls for other collections but not those for registrations. Cause: the age of the copies is that of the last answer about any collection, and it was renewed before the answer was applied. Evidence: TestMissingServerIsNotJudgedByAnswersAboutOtherCollections failed before (the server was gone after 4 s). pass, with which the tests let the store answer, answers polls for all collections now. Why this works: the copy of the registrations has a time of its own, set after an answer about them was applied, or by a peer whose polls of all collections succeed.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -77,8 +77,11 @@
 	// currentAsOf is when the store last answered this daemon or, if later, one of
 	// the daemons that this daemon polls. storeAnsweredAt is when the store last answered
 	// this daemon itself. Both are nil before the first answer.
-	currentAsOf        atomic.Pointer[time.Time]
-	storeAnsweredAt    atomic.Pointer[time.Time]
+	currentAsOf     atomic.Pointer[time.Time]
+	storeAnsweredAt atomic.Pointer[time.Time]
+	// registrationsAsOf is the time as of which the copy of the registrations is current. Nil
+	// before the first read.
+	registrationsAsOf  atomic.Pointer[time.Time]
 	failingCollections atomic.Int32 // number of collections whose last poll of the store failed
 	// registrationsSettleAt is the time from which on the registrations that the store
 	// has are those that servers wrote, see registrationSettleTime. Nil if it always was so.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -105,8 +105,9 @@
 		}
 	}
 	asOf := time.Now().Add(-time.Duration(response.AgeMS) * time.Millisecond)
-	if last := f.currentAsOf.Load(); last == nil || asOf.After(*last) {
-		f.currentAsOf.Store(&asOf)
+	markCurrent(&f.currentAsOf, asOf)
+	if response.StoreReachable && !f.inEarlierEra(response) {
+		markCurrent(&f.registrationsAsOf, asOf)
 	}
 	return response, nil
 }
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -68,16 +68,20 @@
 }
 
 func (r *registry) apply(u update) {
-	r.follower.markStoreAnswered()
-	r.follower.applyUpdate(platform.Servers, u)
+	r.follower.applyAnswer(platform.Servers, u)
 	synctest.Wait()
 }
 
-// pass lets time pass while the store goes on answering.
-func (r *registry) pass(d time.Duration) {
+// pass lets time pass while the store goes on answering polls for all collections.
+func (r *registry) pass(d time.Duration) { r.passAnswering(d, collections...) }
+
+// passAnswering lets time pass while the store answers polls for some collections.
+func (r *registry) passAnswering(d time.Duration, answering ...platform.Collection) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(100 * time.Millisecond)
-		r.follower.markStoreAnswered()
+		for _, c := range answering {
+			r.follower.applyAnswer(c, update{Position: r.follower.replicas[c].completeUpTo()})
+		}
 	}
 	synctest.Wait()
 }
@@ -361,3 +365,17 @@
 		}
 	})
 }
+
+// While only the polls for other collections succeeded, the copy of the registrations was
+// taken for current, and a server that had registered again was dropped.
+func TestMissingServerIsNotJudgedByAnswersAboutOtherCollections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.read(era(1, 9), at(era(1, 9), "s1", catalog.Server{StartedMS: 5, Sequence: 20}))
+		r.read(era(2, 4))
+		r.passAnswering(2*missingRegistrationGrace, platform.Shared, platform.Configurations)
+		must.False(t, r.server("s1").Leaving)
+		r.pass(time.Second)
+		must.True(t, r.server("s1").Leaving)
+	})
+}
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -134,8 +135,7 @@
 		return err
 	}
 	f.rereads[c].reset()
-	f.markStoreAnswered()
-	f.applyUpdate(c, update{Records: wireRecords(page.Records), Position: page.Position})
+	f.applyAnswer(c, update{Records: wireRecords(page.Records), Position: page.Position})
 	if len(page.Records) > 0 {
 		sleep(ctx, changeBatchDelay)
 	}
@@ -151,11 +151,26 @@
 	if err != nil {
 		return err
 	}
-	f.markStoreAnswered()
-	f.applyUpdate(c, update{Full: true, Records: wireRecords(page.Records), Position: page.Position})
+	f.applyAnswer(c, update{Full: true, Records: wireRecords(page.Records), Position: page.Position})
 	return nil
 }
 
+// applyAnswer applies what the store has answered just now about a collection.
+func (f *Follower) applyAnswer(c platform.Collection, u update) {
+	f.markStoreAnswered()
+	f.applyUpdate(c, u)
+	if c == platform.Servers {
+		markCurrent(&f.registrationsAsOf, time.Now())
+	}
+}
+
+// markCurrent replaces the time as of which copies are current by a later one.
+func markCurrent(current *atomic.Pointer[time.Time], asOf time.Time) {
+	if last := current.Load(); last == nil || asOf.After(*last) {
+		current.Store(&asOf)
+	}
+}
+
 // markStoreAnswered records that the store answered this daemon now.
 func (f *Follower) markStoreAnswered() {
 	now := time.Now()
