soak: servers that say they leave, and servers that ask for a pause

The stand-in server plays both signs (Server-Leaving, 503 with Retry-After), but no plan of the soak drew them and nothing checked that daemons heed them.

Faults server-says-leaving (the answers say so for the time of the fault, the registration only from its end on; then the server drains and is replaced) and server-pause (503 with Retry-After 1.5). fenced.Options.Reached reports each request that reached a server with its status and signs. Checks, over all callers' requests: "leaving server" (no request that a caller sent more than 2 s after the daemon had passed on an answer with the sign reaches that server process; excused by a pause or restart of the daemon since, not by the store) and "paused server" (at most two requests of a daemon reach a server between 0.5 s after its 503 with Retry-After and the end of that time; excused by a pause or restart of the daemon and by faults of the server's link). 421 doesn't count for the first.

--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -49,6 +49,18 @@
 	Keyed       bool              // the server runs a request only while it owns the request's key
 	Store       *platformd.Server // in which the server registers
 	Ledger      *Ledger           // shared by all servers of a test
+	Reached     func(Arrival)     // called at the end of each request that reached the server; nil for none
+}
+
+// Arrival is a request that reached a server, and what the answer to it says. Grants,
+// releases and health checks are none, nor are requests for another server.
+type Arrival struct {
+	ID       string // attempt ID
+	Arrived  time.Time
+	Answered time.Time
+	Status   int           // zero if the server sent no proper answer
+	Leaving  bool          // the answer says that the server is about to shut down
+	Pause    time.Duration // Retry-After of the answer; zero if it has none
 }
 
 // Faults are the failures that a test can inject. The zero value is a healthy server.
@@ -310,7 +322,23 @@
 	case pathHealth:
 	default:
 		s.handleRequest(ctx)
+		s.reportArrival(ctx, arrived)
+	}
+}
+
+// reportArrival reports a request that was handled.
+func (s *Server) reportArrival(ctx *fasthttp.RequestCtx, arrived time.Time) {
+	if s.options.Reached == nil {
+		return
+	}
+	a := Arrival{ID: string(ctx.Request.Header.Peek(headerAttemptID)), Arrived: arrived, Answered: time.Now()}
+	if !ctx.Hijacked() {
+		h := &ctx.Response.Header
+		a.Status, a.Leaving = h.StatusCode(), len(h.Peek(headerLeaving)) > 0
+		seconds, _ := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64) // zero if there is none
+		a.Pause = time.Duration(seconds * float64(time.Second))
 	}
+	s.options.Reached(a)
 }
 
 // refuse answers that the request was not run.
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -13,6 +13,12 @@
 // Kind names a kind of fault.
 type Kind string
 
+// kindPause stops a daemon for a time.
+const kindPause Kind = "pause"
+
+// serverLinkPrefix begins the kinds of faults of the connections to a server.
+const serverLinkPrefix = "server-link"
+
 // targetClass is what a kind of fault affects.
 type targetClass string
 
@@ -61,6 +67,7 @@
 	extraService    = 300 * time.Millisecond
 	lostStoreWrites = 4
 	lostGrants      = 3
+	pauseSeconds    = "1.5" // for which a server wants no requests
 )
 
 // kinds are all kinds of faults.
@@ -83,7 +90,7 @@
 func addDaemonKinds() {
 	kinds["term"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, planned: true, begin: restart(syscall.SIGTERM)}
 	kinds["kill"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, begin: restart(syscall.SIGKILL)}
-	kinds["pause"] = kindInfo{class: classDaemon, shortest: brief, longest: long, delaysGrants: true, begin: pause}
+	kinds[kindPause] = kindInfo{class: classDaemon, shortest: brief, longest: long, delaysGrants: true, begin: pause}
 	kinds["hup"] = kindInfo{class: classDaemon, shortest: brief, longest: brief, planned: true, begin: reload}
 }
 
@@ -117,7 +124,7 @@
 	for _, mode := range linkModes {
 		add("store-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toStore })
 		add("caller-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toCallers })
-		add("server-link", mode, classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
+		add(serverLinkPrefix, mode, classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
 	}
 }
 
@@ -129,6 +136,7 @@
 	"server-lose-answers": func(s *fenced.Faults) { s.ResetAfterRun = true },
 	"server-wrong-id":     func(s *fenced.Faults) { s.WrongAttemptID = true },
 	"server-unframed":     func(s *fenced.Faults) { s.Unframed = true },
+	"server-pause":        func(s *fenced.Faults) { s.Pause = pauseSeconds },
 	"server-fail":         func(s *fenced.Faults) { s.FailAll = true },
 	"server-slow":         func(s *fenced.Faults) { s.ExtraServiceTime = extraService },
 	"server-lose-grants":  func(s *fenced.Faults) { s.DropGrantResponses = lostGrants },
@@ -148,6 +156,7 @@
 	}
 	add("server-crash", false, (*serverSlot).crash)
 	add("server-lapse", false, (*serverSlot).lapse)
+	add("server-says-leaving", true, (*serverSlot).sayLeaving)
 	add("server-drain", true, func(s *serverSlot) (endFunc, error) { return s.replace(true) })
 	add("server-leave", true, func(s *serverSlot) (endFunc, error) { return s.replace(false) })
 }
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -31,6 +32,7 @@
 // interval is the time of one fault. to is zero while it lasts.
 type interval struct {
 	kindInfo
+	kind     Kind
 	target   string
 	from, to time.Time
 }
@@ -56,6 +58,7 @@
 	faults     []*interval
 	begun      []Mark
 	outcomes   []Outcome
+	arrivals   []serverArrival
 	broken     []BrokenPromise
 	reported   map[string]bool
 	excused    int // violations that a fault excuses
@@ -80,7 +83,7 @@
 func (m *Monitor) Begin(e Event) (end func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	fault := &interval{kindInfo: kinds[e.Kind], target: e.Target, from: time.Now()}
+	fault := &interval{kindInfo: kinds[e.Kind], kind: e.Kind, target: e.Target, from: time.Now()}
 	m.faults = append(m.faults, fault)
 	m.begun = append(m.begun, Mark{time.Since(m.started), e})
 	return func() {
@@ -137,12 +140,13 @@
 	if from.Before(m.started) {
 		return false // the daemons were starting
 	}
-	for _, fault := range m.faults {
-		if counts(fault) && fault.overlaps(from, to) {
-			return false
-		}
-	}
-	return true
+	return !m.hadFault(from, to, counts)
+}
+
+// hadFault reports whether a fault that counts was in force in a time. The caller must
+// hold m.mu.
+func (m *Monitor) hadFault(from, to time.Time, counts func(*interval) bool) bool {
+	return slices.ContainsFunc(m.faults, func(i *interval) bool { return counts(i) && i.overlaps(from, to) })
 }
 
 // Configured records that a version of the configuration was written.
--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 )
 
 // startedMonitor returns a monitor of a run that began a minute ago.
@@ -103,3 +107,88 @@
 	m.checkClosed(Outcome{ID: "r4", Sent: time.Now(), Ended: time.Now()}, 1)
 	must.SliceLen(t, 2, m.promises())
 }
+
+// passOn records a request that d0 sent to s0-1 at a time. The answer is passed on after a
+// millisecond, unless the server asks for a pause.
+func (m *Monitor) passOn(id string, sent time.Time, a fenced.Arrival) {
+	a.ID, a.Arrived, a.Answered = id, sent, sent
+	m.Reached("s0-1", a)
+	o := served("d0", "s0-1", sent)
+	o.ID, o.Incarnation, o.Ended = id, 1, sent.Add(time.Millisecond)
+	if a.Pause > 0 {
+		o.Result, o.Status, o.Server = Refused, a.Status, ""
+	}
+	m.Observe(o)
+}
+
+func TestRequestsToServerThatSaidItLeavesAreReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		late time.Duration // from the end of the time in which the server may be used
+		kind Kind          // of a fault of the daemon in between
+		want []string
+	}{
+		"within the bound":            {late: 0},
+		"late":                        {late: 2 * time.Millisecond, want: []string{"leaving server"}},
+		"late and out of touch":       {late: 2 * time.Millisecond, kind: "store-link-silence", want: []string{"leaving server"}},
+		"late, the daemon was paused": {late: 2 * time.Millisecond, kind: kindPause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := startedMonitor()
+			told := time.Now().Add(-time.Second)
+			m.passOn("r1", told, fenced.Arrival{Status: fasthttp.StatusOK, Leaving: true})
+			if test.kind != "" {
+				m.Begin(Event{Kind: test.kind, Target: "d0"})()
+			}
+			m.passOn("r2", told.Add(drainBound+test.late), fenced.Arrival{Status: fasthttp.StatusOK})
+			m.passOn("r3", told.Add(2*drainBound), fenced.Arrival{Status: fasthttp.StatusMisdirectedRequest})
+			m.CheckSigns()
+			must.Eq(t, test.want, m.promises())
+		})
+	}
+}
+
+func TestSignBindsOnlyTheDaemonThatPassedItOn(t *testing.T) {
+	m := startedMonitor()
+	told := time.Now().Add(-time.Minute)
+	m.passOn("r1", told, fenced.Arrival{Status: fasthttp.StatusOK, Leaving: true})
+	m.Reached("s0-1", fenced.Arrival{ID: "r2", Arrived: told.Add(10 * time.Second)})
+	m.Observe(Outcome{ID: "r2", Daemon: "d1", Incarnation: 1, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
+	m.Reached("s0-1", fenced.Arrival{ID: "r3", Arrived: told.Add(10 * time.Second)})
+	m.Observe(Outcome{ID: "r3", Daemon: "d0", Incarnation: 2, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
+	m.CheckSigns()
+	must.SliceEmpty(t, m.promises())
+}
+
+func TestRequestsToServerThatAskedForPauseAreReported(t *testing.T) {
+	const pause = 2 * time.Second
+	for name, test := range map[string]struct {
+		count  int           // of requests
+		first  time.Duration // from the server's answer to the first one
+		kind   Kind          // of a fault in between
+		target string
+		want   []string
+	}{
+		"on their way":              {count: 5, first: pauseSlack - 10*time.Millisecond},
+		"few":                       {count: pauseExcess, first: pauseSlack + time.Millisecond},
+		"many":                      {count: pauseExcess + 1, first: pauseSlack + time.Millisecond, want: []string{"paused server"}},
+		"many after it":             {count: 5, first: pause + time.Millisecond},
+		"many, store out of touch":  {count: 5, first: pauseSlack + time.Millisecond, kind: "store-link-silence", target: "d0", want: []string{"paused server"}},
+		"many, daemon was paused":   {count: 5, first: pauseSlack + time.Millisecond, kind: kindPause, target: "d0"},
+		"many, link of the server":  {count: 5, first: pauseSlack + time.Millisecond, kind: "server-link-delay", target: "s0"},
+		"many, link of another one": {count: 5, first: pauseSlack + time.Millisecond, kind: "server-link-delay", target: "s1", want: []string{"paused server"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := startedMonitor()
+			asked := time.Now().Add(-pauseSlack)
+			m.passOn("r0", asked, fenced.Arrival{Status: fasthttp.StatusServiceUnavailable, Pause: pause})
+			if test.kind != "" {
+				m.Begin(Event{Kind: test.kind, Target: test.target})()
+			}
+			for i := range test.count {
+				m.passOn(fmt.Sprintf("r%d", i+1), asked.Add(test.first+time.Duration(i)*time.Millisecond), fenced.Arrival{Status: fasthttp.StatusOK})
+			}
+			m.CheckSigns()
+			must.Eq(t, test.want, m.promises())
+		})
+	}
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -60,6 +60,7 @@
 	stopWatches()
 	watching.Wait()
 	f.monitor.CheckRuns(f, true)
+	f.monitor.CheckSigns()
 	if err == nil {
 		err = ctx.Err()
 	}
@@ -126,6 +127,7 @@
 func (f *Fleet) watchRuns(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.monitor.CheckRuns(f, false)
+		f.monitor.CheckSigns()
 		for _, d := range f.daemons {
 			if used, ok := d.resources(); ok {
 				f.monitor.UseResources(d.name, used)
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -33,7 +33,14 @@
 // placedServer is one server process and the link by which daemons reach it.
 type placedServer struct {
 	*fenced.Server
-	link *Link
+	link        *Link
+	saysLeaving bool // in its answers
+}
+
+// impair puts faults in force. A server that has said that it leaves goes on to do so.
+func (p *placedServer) impair(f fenced.Faults) {
+	f.SayLeaving = p.saysLeaving
+	p.SetFaults(f)
 }
 
 func newServerSlot(f *Fleet, index int, keyed bool) (*serverSlot, error) {
@@ -51,10 +58,12 @@
 	if s.keyed {
 		service = keyedService
 	}
+	id := fmt.Sprintf("%s-%d", s.name, len(s.all))
 	server, err := fenced.Start(fenced.Options{
-		ID: fmt.Sprintf("%s-%d", s.name, len(s.all)), Service: service, Zone: fmt.Sprintf("zone-%d", len(s.all)%zones),
+		ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", len(s.all)%zones),
 		Address: anyAddress, Slots: serverSlots, ServiceTime: serviceTime, Keyed: s.keyed,
 		Store: s.fleet.registry, Ledger: s.fleet.ledger,
+		Reached: func(a fenced.Arrival) { s.fleet.monitor.Reached(id, a) },
 	})
 	if err != nil {
 		return errors.Wrapf(err, "start server of %s", s.name)
@@ -63,9 +72,9 @@
 		server.Crash()
 		return err
 	}
-	s.current = &placedServer{server, link}
+	s.current = &placedServer{Server: server, link: link}
 	s.all = append(s.all, s.current)
-	s.current.SetFaults(s.faults.merged())
+	s.current.impair(s.faults.merged())
 	return s.publish(s.current)
 }
 
@@ -89,24 +98,20 @@
 	return nil
 }
 
-func (s *serverSlot) currentLink() *Link {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current.link
-}
+func (s *serverSlot) currentLink() *Link { return s.currentServer().link }
 
 // impair puts a fault of the servers of the slot in force until the returned function is called.
 func (s *serverSlot) impair(set func(*fenced.Faults)) (end endFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	number := s.faults.add(set)
-	s.current.SetFaults(s.faults.merged())
+	s.current.impair(s.faults.merged())
 	return func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.faults.remove(number)
 		for _, server := range s.all {
-			server.SetFaults(s.faults.merged())
+			server.impair(s.faults.merged())
 		}
 		return nil
 	}
@@ -183,6 +188,32 @@
 	}, err
 }
 
+// sayLeaving makes the server say in its answers that it leaves. When the fault ends, it
+// is replaced, unless it was meanwhile.
+func (s *serverSlot) sayLeaving() (end endFunc, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaving := s.current
+	leaving.saysLeaving = true
+	leaving.impair(s.faults.merged())
+	return func() error {
+		if s.currentServer() != leaving {
+			return nil
+		}
+		gone, err := s.replace(true)
+		if err != nil {
+			return err
+		}
+		return gone()
+	}, nil
+}
+
+func (s *serverSlot) currentServer() *placedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
 // remove removes a server's registration. The caller must hold s.mu.
 func (s *serverSlot) remove(p *placedServer) error {
 	p.Unregister()
