soak: the store returns from older copies

The stand-in store can return to an older copy, but no plan drew that, so that what daemons do afterwards was only played by single tests in one process.

Fault store-restore: the store is down for up to 2 s and returns from a copy that was 0 to 12 s older than its outage. The operators write the newest configuration again after 1.5 s if the store has another one, live servers register again after 0.8 to 1.8 s, registrations of ended ones lapse after 2.5 s. Five times as likely as other kinds, and a fifth kind of plan has just faults of the store and those that change what it holds, so that returns come in series and with crashes, drains and restarts between the copy and the return.

Checks stay as they were: a return counts as a fault of the store that ends when the store is back, not when all is written again. A version of the configuration that was lost counts as written when it is written again, for daemons that never had it; one that went back is still reported.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorylug/chicorylug/internal/follow"
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -41,7 +42,10 @@
 
 	mu          sync.Mutex
 	storeFaults faultSet[platformd.Faults]
-	version     int // of the configuration
+	version     int    // of the configuration
+	newest      []byte // the newest configuration
+
+	rewrites errgroup.Group // what is written again after the store has lost it
 }
 
 // ports hands out loopback addresses below the ports that the system gives to outgoing
@@ -241,11 +245,17 @@
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
-	f.store.PutRow("op", "config", body)
-	f.monitor.Configured(f.version, time.Now())
+	f.newest = body
+	f.writeConfiguration()
 	return nil
 }
 
+// writeConfiguration writes the newest configuration. The caller must hold f.mu.
+func (f *Fleet) writeConfiguration() {
+	f.store.PutRow("op", "config", f.newest)
+	f.monitor.Configured(f.version, time.Now())
+}
+
 func probePrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
 // impairStore puts a fault of the store in force until the returned function is called.
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -26,17 +26,25 @@
 	classDaemon targetClass = "d"
 	classServer targetClass = "s"
 	classStore  targetClass = "store"
-	classConfig targetClass = "config"
+	// classRestore are the ages of the copies from which the store returns.
+	classRestore targetClass = "restore"
+	classConfig  targetClass = "config"
 )
 
 // target returns the name of a target in the text form of a plan.
 func (c targetClass) target(i int) string {
-	if c == classStore || c == classConfig {
+	switch c {
+	case classStore, classConfig:
 		return ""
+	case classRestore:
+		return (time.Duration(i) * copyAgeStep).String()
 	}
 	return fmt.Sprintf("%s%d", c, i)
 }
 
+// isStore reports whether faults of the class affect the whole store.
+func (c targetClass) isStore() bool { return c == classStore || c == classRestore }
+
 // endFunc ends a fault.
 type endFunc func() error
 
@@ -51,7 +59,11 @@
 	planned bool
 	// delaysGrants says that grants may still arrive shortly after the end of the fault.
 	delaysGrants bool
-	begin        beginFunc
+	// recorded says that the store's records change in consequence of the fault.
+	recorded bool
+	// weight is how much likelier than others the kind is in a plan. Zero counts as one.
+	weight int
+	begin  beginFunc
 }
 
 // Bounds of the durations of faults.
@@ -68,6 +80,10 @@
 	lostStoreWrites = 4
 	lostGrants      = 3
 	pauseSeconds    = "1.5" // for which a server wants no requests
+	// Copies from which the store returns are up to maxCopyAge older than its outage.
+	maxCopyAge    = 12 * time.Second
+	copyAgeStep   = time.Second
+	restoreWeight = 5
 )
 
 // kinds are all kinds of faults.
@@ -88,8 +104,8 @@
 }
 
 func addDaemonKinds() {
-	kinds["term"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, planned: true, begin: restart(syscall.SIGTERM)}
-	kinds["kill"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, begin: restart(syscall.SIGKILL)}
+	kinds["term"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, planned: true, recorded: true, begin: restart(syscall.SIGTERM)}
+	kinds["kill"] = kindInfo{class: classDaemon, shortest: brief, longest: moderate, recorded: true, begin: restart(syscall.SIGKILL)}
 	kinds[kindPause] = kindInfo{class: classDaemon, shortest: brief, longest: long, delaysGrants: true, begin: pause}
 	kinds["hup"] = kindInfo{class: classDaemon, shortest: brief, longest: brief, planned: true, begin: reload}
 }
@@ -145,30 +161,32 @@
 }
 
 func addServerKinds() {
-	add := func(name Kind, planned bool, begin func(*serverSlot) (endFunc, error)) {
+	add := func(name Kind, planned, recorded bool, begin func(*serverSlot) (endFunc, error)) {
 		kinds[name] = kindInfo{
-			class: classServer, shortest: brief, longest: long, planned: planned,
+			class: classServer, shortest: brief, longest: long, planned: planned, recorded: recorded,
 			begin: func(f *Fleet, target string) (endFunc, error) { return begin(f.slot(target)) },
 		}
 	}
 	for name, set := range serverFaults {
-		add(name, false, func(s *serverSlot) (endFunc, error) { return s.impair(set), nil })
+		add(name, false, false, func(s *serverSlot) (endFunc, error) { return s.impair(set), nil })
 	}
-	add("server-crash", false, (*serverSlot).crash)
-	add("server-lapse", false, (*serverSlot).lapse)
-	add("server-says-leaving", true, (*serverSlot).sayLeaving)
-	add("server-drain", true, func(s *serverSlot) (endFunc, error) { return s.replace(true) })
-	add("server-leave", true, func(s *serverSlot) (endFunc, error) { return s.replace(false) })
+	add("server-crash", false, true, (*serverSlot).crash)
+	add("server-lapse", false, true, (*serverSlot).lapse)
+	add("server-says-leaving", true, true, (*serverSlot).sayLeaving)
+	add("server-drain", true, true, func(s *serverSlot) (endFunc, error) { return s.replace(true) })
+	add("server-leave", true, true, func(s *serverSlot) (endFunc, error) { return s.replace(false) })
 }
 
 // storeFaults are the faults that the stand-in store has by itself.
 var storeFaults = map[Kind]func(*platformd.Faults){
-	"store-down":       func(s *platformd.Faults) { s.Down, s.ListDown = true, true },
+	"store-down":       takeStoreDown,
 	"store-slow":       func(s *platformd.Faults) { s.DelayMS = storeDelayMS },
 	"store-lose":       func(s *platformd.Faults) { s.DropWriteResponses = lostStoreWrites },
 	"store-no-history": func(s *platformd.Faults) { s.HistoryGone = true },
 }
 
+func takeStoreDown(s *platformd.Faults) { s.Down, s.ListDown = true, true }
+
 func addStoreKinds() {
 	for name, set := range storeFaults {
 		kinds[name] = kindInfo{
@@ -176,8 +194,11 @@
 			begin: func(f *Fleet, _ string) (endFunc, error) { return f.impairStore(set), nil },
 		}
 	}
+	kinds["store-restore"] = kindInfo{
+		class: classRestore, shortest: brief, longest: moderate, weight: restoreWeight, begin: (*Fleet).restoreStore,
+	}
 	kinds["config"] = kindInfo{
-		class: classConfig, shortest: brief, longest: brief, planned: true,
+		class: classConfig, shortest: brief, longest: brief, planned: true, recorded: true,
 		begin: func(f *Fleet, _ string) (endFunc, error) { return nothing, f.configure() },
 	}
 }
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -119,14 +119,14 @@
 // in the contact time before it. The caller must hold m.mu.
 func (m *Monitor) daemonCalm(daemon string, from, to time.Time) bool {
 	return m.calm(from, to, func(i *interval) bool {
-		return i.class == classStore || i.class == classDaemon && i.target == daemon
+		return i.class.isStore() || i.class == classDaemon && i.target == daemon
 	})
 }
 
 // storeCalm reports whether the store had no fault in the contact time before a moment.
 // The caller must hold m.mu.
 func (m *Monitor) storeCalm(at time.Time) bool {
-	return m.calm(at, at, func(i *interval) bool { return i.class == classStore })
+	return m.calm(at, at, func(i *interval) bool { return i.class.isStore() })
 }
 
 // onlyPlanned reports whether there were only planned faults in a time and in the contact
--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestDaemonsOutOfTouchAreExcused(t *testing.T) {
-	for _, kind := range []Kind{"pause", "store-down"} {
+	for _, kind := range []Kind{"pause", "store-down", "store-restore"} {
 		m := startedMonitor()
 		m.Drained("s0", time.Now().Add(-10*time.Second))
 		m.Begin(Event{Kind: kind, Target: "d0"})()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,7 +26,7 @@
 type Event struct {
 	At, For time.Duration
 	Kind    Kind
-	Target  string // empty for faults of the whole store and changes of the configuration
+	Target  string // empty for faults of the whole store and changes of the configuration; an age for its return from a copy
 }
 
 // String returns the event's line of a plan.
@@ -85,19 +85,25 @@
 type profile func(kindInfo) bool
 
 // profiles are equally likely. Some promises hold only while the store works, or while
-// there is only maintenance.
+// there is only maintenance. The last one has faults of the store and others that change what
+// it holds.
 var profiles = []profile{
 	func(kindInfo) bool { return true },
 	func(kindInfo) bool { return true },
-	func(k kindInfo) bool { return k.class != classStore },
+	func(k kindInfo) bool { return !k.class.isStore() },
 	func(k kindInfo) bool { return k.planned },
+	func(k kindInfo) bool { return k.class.isStore() || k.recorded },
 }
 
-// kinds returns the names of the kinds that a profile selects, in order.
+// kinds returns the names of the kinds that a profile selects, in order, each as often as
+// its weight says.
 func (p profile) kinds() []Kind {
 	var names []Kind
 	for _, name := range kindNames {
-		if p(kinds[name]) {
+		if !p(kinds[name]) {
+			continue
+		}
+		for range max(1, kinds[name].weight) {
 			names = append(names, name)
 		}
 	}
@@ -115,6 +121,8 @@
 		return p.Daemons
 	case classServer:
 		return p.Keyed + p.Plain
+	case classRestore:
+		return int(maxCopyAge/copyAgeStep) + 1
 	default:
 		return 1
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -53,6 +53,9 @@
 	if recovery := f.awaitService(ctx, recoverBound); recovery != nil && ctx.Err() == nil {
 		f.monitor.Broken("recovery", "", "not within %v after the last fault: %v", recoverBound, recovery)
 	}
+	if rewriteErr := f.rewrites.Wait(); err == nil {
+		err = rewriteErr
+	}
 	wait(ctx, steadyTime)
 	stopLoad()
 	loading.Wait()
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -124,6 +124,7 @@
 	lost := s.current
 	lost.link.disconnect()
 	lost.Crash()
+	lost.Unregister() // it writes its registration no more, but the store keeps it for now
 	return func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,7 +46,7 @@
 
 // The seeds of CI are fixed, so that each run injects the same faults.
 func TestPromisesAreKeptUnderFaults(t *testing.T) {
-	for _, seed := range []uint64{1, 2, 4} {
+	for _, seed := range []uint64{1, 2, 4, 482} {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playPlan(t, NewPlan(seed)) })
 	}
 }
@@ -80,6 +80,7 @@
 	for _, text := range []string{
 		"", "1s 1s kill d0\n", fleet + "1s kill d0\n", fleet + "x 1s kill d0\n", fleet + "1s x kill d0\n",
 		fleet + "1s 1s explode d0\n", fleet + "1s 1s kill d3\n", fleet + "1s 1s store-down d0\n", fleet + "1s 1s server-crash keeper\n",
+		fleet + "1s 1s store-restore\n", fleet + "1s 1s store-restore 13s\n",
 		"fleet seed=1 daemons=1000 keyed=2 plain=2\n",
 	} {
 		_, err := ReadPlan(strings.NewReader(text))
