soak: drained servers, what the store and links excuse

The users' rules don't count a request as late while the link to the server was harmed in the last 3 s (RULES.md, held up). The check excuses just that now.

A daemon that had no fault from 3 s before the departure on, while the store was calm for the 2 s after it, is bound from then on whatever the store does, its returns from older copies included. TestDaemonsOutOfTouchAreExcused has its departure 1 s before the fault, not 10, as the daemon would have heard of it.

--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -43,9 +43,9 @@
 func TestDaemonsOutOfTouchAreExcused(t *testing.T) {
 	for _, kind := range []Kind{"pause", "store-down", "store-restore"} {
 		m := startedMonitor()
-		m.Drained("s0", time.Now().Add(-10*time.Second))
+		m.Drained("s0", time.Now().Add(-time.Second))
 		m.Begin(Event{Kind: kind, Target: "d0"})()
-		m.Observe(served("d0", "s0", time.Now()))
+		m.Observe(served("d0", "s0", time.Now().Add(drainBound)))
 		m.Observe(served("d0", "s0", time.Now().Add(contact-100*time.Millisecond)))
 		must.SliceEmpty(t, m.promises())
 		m.Observe(served("d0", "s0", time.Now().Add(contact+100*time.Millisecond)))
@@ -53,6 +53,30 @@
 	}
 }
 
+// A daemon that heard of a departure before the store failed must not forget it.
+func TestDaemonsThatHeardOfADepartureAreNotExcusedByTheStore(t *testing.T) {
+	for kind, want := range map[Kind][]string{
+		"store-down": {"drained server"}, "store-restore": {"drained server"}, "pause": nil, "kill": nil, "store-link-silence": nil,
+	} {
+		m := startedMonitor()
+		m.Drained("s0", time.Now().Add(-10*time.Second))
+		m.Begin(Event{Kind: kind, Target: "d0"})()
+		m.Observe(served("d0", "s0", time.Now()))
+		must.Eq(t, want, m.promises(), must.Sprint(kind))
+	}
+}
+
+// A request over a link that was impaired a moment ago may have been held up.
+func TestRequestsToDrainedServersOverImpairedLinksAreExcused(t *testing.T) {
+	m := startedMonitor()
+	m.Drained("s0-1", time.Now().Add(-10*time.Second))
+	m.Begin(Event{Kind: "server-link-delay", Target: "s0"})()
+	m.Observe(served("d0", "s0-1", time.Now().Add(contact-100*time.Millisecond)))
+	must.SliceEmpty(t, m.promises())
+	m.Observe(served("d0", "s0-1", time.Now().Add(contact+100*time.Millisecond)))
+	must.Eq(t, []string{"drained server"}, m.promises())
+}
+
 func TestStaleSettingsAreReported(t *testing.T) {
 	m := startedMonitor()
 	now := time.Now()
--- a/soak/outcomes.go
+++ b/soak/outcomes.go
@@ -60,13 +60,33 @@
 	if isDenial(o.Status) {
 		m.breakPromise("denied", o.ID, "%s answered a proper request with status %d", o.Daemon, o.Status)
 	}
+	if o.Result == Served {
+		m.checkDrained(o)
+	}
+}
+
+// checkDrained checks that a request that was served was not sent to a server that had
+// left, by a daemon that had to know. Requests over a link that has just been impaired may
+// have been held up. The caller must hold m.mu.
+func (m *Monitor) checkDrained(o Outcome) {
 	left, leaving := m.departures[o.Server]
 	late := o.Sent.Sub(left.at)
-	if o.Result == Served && leaving && left.stable && late > drainBound && m.daemonCalm(o.Daemon, o.Sent, o.Ended) {
+	if !leaving || !left.stable || late <= drainBound || m.linkWasImpaired(o.Server, o.Sent, o.Ended) {
+		return
+	}
+	if m.daemonCalm(o.Daemon, o.Sent, o.Ended) || m.hasHeard(o.Daemon, left, o.Ended) {
 		m.breakPromise("drained server", o.ID, "%s sent a request to %s, which had left %v before", o.Daemon, o.Server, late.Round(time.Millisecond))
 	}
 }
 
+// hasHeard reports whether a daemon has heard of a departure while the store was calm, and
+// had no fault of its own since. What the store does later is no excuse for it. The caller
+// must hold m.mu.
+func (m *Monitor) hasHeard(daemon string, left departure, now time.Time) bool {
+	storeCalm := m.calm(left.at, left.at.Add(drainBound), func(i *interval) bool { return i.class.isStore() })
+	return storeCalm && m.calm(left.at, now, func(i *interval) bool { return i.class == classDaemon && i.target == daemon })
+}
+
 // CheckRuns compares the number of runs of each request with its outcome, once for each
 // outcome that is old enough or, with all set, for all outcomes.
 func (m *Monitor) CheckRuns(f *Fleet, all bool) {
