soak: settings state how often servers report

The soak wrote the daemons' settings with report_seconds 0. Daemons take a registration in the store's older copy for a current one after three reports and a second: one second instead of 3.4 s, before the copy's leftovers lapse after 2.5 s.

--- a/soak/process.go
+++ b/soak/process.go
@@ -25,6 +25,7 @@
 	retryShare     = 0.2
 	retryExtra     = 100
 	maxHoldSeconds = 10
+	reportSeconds  = 0.8 // between two reports of a server
 )
 
 // killDelay is the time from SIGTERM to SIGKILL.
@@ -61,7 +62,7 @@
 		LogLevel: "info", Seeds: f.controlAddresses(),
 		Fenced: &config.Fenced{
 			ReadinessAddress: f.ports.next(), MetricsAddress: f.ports.next(), MemoryMB: memoryMB, Cores: 1,
-			GraceSeconds: graceSeconds, RepeatShare: retryShare, RepeatExtra: retryExtra, MaxHoldSeconds: maxHoldSeconds,
+			GraceSeconds: graceSeconds, RepeatShare: retryShare, RepeatExtra: retryExtra, MaxHoldSeconds: maxHoldSeconds, ReportSeconds: reportSeconds,
 		},
 	}
 	if d.toCallers, err = newLink(f.ports.next(), d.config.CallerAddress); err != nil {
