--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -48,12 +49,13 @@
 	"store restored and keeper killed", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
 }
 
-func drawHistory(t *rapid.T) []event {
+// histories generates histories of a service with the given number of servers.
+func histories(servers int) *rapid.Generator[[]event] {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		e := event{
 			kind:     rapid.SampledFrom(eventKinds).Draw(t, "kind"),
 			pause:    time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond,
-			index:    rapid.IntRange(0, modelServers-1).Draw(t, "index"),
+			index:    rapid.IntRange(0, servers-1).Draw(t, "index"),
 			duration: time.Duration(rapid.IntRange(50, 4000).Draw(t, "duration")) * time.Millisecond,
 			key:      rapid.IntRange(0, catalog.LastKey).Draw(t, "key"),
 		}
@@ -61,7 +63,7 @@
 			e.age = time.Duration(rapid.IntRange(0, 20_000).Draw(t, "age")) * time.Millisecond
 		}
 		return e
-	}), 4, 16).Draw(t, "history")
+	}), 4, 16)
 }
 
 // history applies events to a simulation. startedServers and incarnations count, for
@@ -304,12 +306,13 @@
 	return 0, false
 }
 
-// playHistory runs events in a new simulation and returns the violations: keys with
-// two owners or with falling fences at any time, and a key without an owner
-// modelRecoveryTime after the last event. log is what the keepers logged.
-func playHistory(events []event) (violations []string, log string) {
+// playHistory runs events in a new simulation of a service with the given number of servers.
+// It returns the violations: keys with two owners or with falling fences at any time, and a
+// key without an owner modelRecoveryTime after the last event. log is what the keepers
+// logged.
+func playHistory(servers int, events []event) (violations []string, log string) {
 	sim := newSimulation()
-	h := &history{simulation: sim, servers: make([]*process, modelServers), log: sim.logger()}
+	h := &history{simulation: sim, servers: make([]*process, servers), log: sim.logger()}
 	for i := range h.servers {
 		id := fmt.Sprintf("server-%d", i)
 		h.startServer(i, id, id)
@@ -346,10 +349,10 @@
 		t.Run(fmt.Sprintf("group-%d", group), func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(rt *rapid.T) {
-				events := drawHistory(rt)
+				events := histories(modelServers).Draw(rt, "history")
 				var violations []string
 				var log string
-				synctest.Test(t, func(*testing.T) { violations, log = playHistory(events) })
+				synctest.Test(t, func(*testing.T) { violations, log = playHistory(modelServers, events) })
 				if len(violations) > 0 {
 					rt.Logf("%s", log[:min(len(log), modelLogBytes)])
 					rt.Fatalf("%s", strings.Join(violations[:min(len(violations), 5)], "\n"))
@@ -359,6 +362,30 @@
 	}
 }
 
+// largeServers is the number of servers of a large service.
+const largeServers = 255
+
+// Flags of TestKeysOfManyServersHaveOneOwner.
+var (
+	largeHistories = flag.Int("large-histories", 2, "number of histories of a large service")
+	firstLarge     = flag.Int("first-large-history", 1, "seed of the first history of a large service")
+)
+
+// As TestKeysHaveOneOwner, with many servers.
+func TestKeysOfManyServersHaveOneOwner(t *testing.T) {
+	for seed := *firstLarge; seed < *firstLarge+*largeHistories; seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			events := histories(largeServers).Example(seed)
+			synctest.Test(t, func(t *testing.T) {
+				violations, log := playHistory(largeServers, events)
+				violations = violations[:min(len(violations), 5)]
+				must.SliceEmpty(t, violations, must.Sprintf("%+v\n%s", events, log[:min(len(log), modelLogBytes)]))
+			})
+		})
+	}
+}
+
 // A history that TestKeysHaveOneOwner once failed on: a server was granted keys just after
 // it had restarted, and the registration of the new process, which the grant had reached,
 // lapsed before the grant did.
@@ -374,7 +401,7 @@
 		{kind: "late grants", pause: 164 * time.Millisecond, index: 0, duration: 50 * time.Millisecond, key: 148},
 	}
 	synctest.Test(t, func(t *testing.T) {
-		violations, log := playHistory(events)
+		violations, log := playHistory(modelServers, events)
 		must.SliceEmpty(t, violations, must.Sprint(log))
 	})
 }
@@ -383,14 +410,14 @@
 // get keys, and no server was ever granted its own keys again under new fences.
 func TestServersGetTheirKeysBackAfterAllWereCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		violations, log := playHistory([]event{{kind: "keeper cut off from all servers", duration: 4 * time.Second}})
+		violations, log := playHistory(modelServers, []event{{kind: "keeper cut off from all servers", duration: 4 * time.Second}})
 		must.SliceEmpty(t, violations, must.Sprint(log))
 	})
 }
 
 func TestHistoryWithoutFaultsKeepsAllKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		violations, log := playHistory(nil)
+		violations, log := playHistory(modelServers, nil)
 		must.SliceEmpty(t, violations, must.Sprint(log))
 	})
 }
