keeper: a race in the simulation of servers

Cause: reads and writes simClient.connsLost outside the simulation's lock; calls of first grants and of renewals run side by side. Evidence: go test -race -run TestUncertainKeeperOutwaitsOneThatIsCutOff reported it; with the lock it and the other tests of restored_test.go pass under -race (one run).

--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -317,8 +317,7 @@
 func (c *simClient) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	c.connsLost = c.connsLost || (c.firstProcess != nil && c.from.cutOffFromServers())
-	if c.connsLost {
+	if c.lostConns() {
 		return dialect.GrantRefused, callResult{err: errProcessConnsLost}
 	}
 	p, err := c.connect(ctx)
@@ -372,6 +371,15 @@
 	return dialect.GrantAccepted, callResult{sent: true, status: http.StatusOK}
 }
 
+// lostConns reports whether no connection to the process that received the first grant is
+// left.
+func (c *simClient) lostConns() bool {
+	c.sim.mu.Lock()
+	defer c.sim.mu.Unlock()
+	c.connsLost = c.connsLost || (c.firstProcess != nil && c.from.cutOffFromServers())
+	return c.connsLost
+}
+
 func (c *simClient) release(ctx context.Context, timeout time.Duration, from, to int, _ catalog.Fence) callResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
