retryafter: pauses of up to an hour are believed

Cause: of a pause of an hour, 10 minutes were believed. A daemon would then have sent to the server at least each 10 minutes, more than twice before the end of the time; and without bound once it answered. Log lines about leaving servers had a zero time as "until".

Measured: internal/retryafter and the gate's tests of internal/backends pass (once).

Conclusion: claims above an hour are still taken for mistakes and end after an hour.

--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -29,6 +29,18 @@
 	return fmt.Sprintf("server %s had asked for a pause, until %s", e.Server, e.Verdict.Until.UTC().Format(time.RFC3339Nano))
 }
 
+// logFields returns the fields of log lines about a request that was held back.
+func (e *HeldError) logFields(service model.PoolName, request model.RequestID) []zap.Field {
+	fields := []zap.Field{
+		zap.String("request", string(request)), zap.String("server", string(e.Server)),
+		zap.String("service", string(service)), zap.String("reason", string(e.Verdict.Reason)),
+	}
+	if e.Verdict.Reason == sendgate.Paused {
+		fields = append(fields, zap.Time("until", e.Verdict.Until))
+	}
+	return fields
+}
+
 // isHeld reports whether the error is that of a request that was not sent, or turned away,
 // because of what its server said.
 func isHeld(err error) bool {
@@ -62,9 +74,9 @@
 		return nil
 	}
 	b.gateMeters.held[verdict.Reason].Inc()
-	b.log.Info("send held back", zap.String("request", string(request)), zap.String("server", string(server.ID)),
-		zap.String("service", string(server.Service)), zap.String("reason", string(verdict.Reason)), zap.Time("until", verdict.Until))
-	return &HeldError{Server: server.ID, Verdict: verdict}
+	held := &HeldError{Server: server.ID, Verdict: verdict}
+	b.log.Info("send held back", held.logFields(server.Service, request)...)
+	return held
 }
 
 // HeldService returns an error if all servers of a service are held, with the verdict of
@@ -85,9 +97,7 @@
 	}
 	if first != nil {
 		b.gateMeters.held[first.Verdict.Reason].Inc()
-		b.log.Info("send held back, no server of the service takes requests", zap.String("request", string(request)),
-			zap.String("server", string(first.Server)), zap.String("service", string(service)),
-			zap.String("reason", string(first.Verdict.Reason)), zap.Time("until", first.Verdict.Until))
+		b.log.Info("send held back, no server of the service takes requests", first.logFields(service, request)...)
 	}
 	return first
 }
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// Max is the longest pause that is returned: a longer one is taken for a mistake.
-	Max = 10 * time.Minute
+	// Max is the longest pause that is returned: a longer one is taken for a mistake, such
+	// as milliseconds or a time of day.
+	Max = time.Hour
 	// Unreadable is the pause returned for values of which none can be read.
 	Unreadable = time.Second
 )
