backends: saved retries stay within each window, also after a short start

What operators would see: more retries in 10 s than the platform allows (BUDGET), where traffic begins, then fails, and goes on at another rate. Cause: retries of 4 s could be saved. That fits into the windows only if there was traffic for 10 s before; requests of the seconds before a window count in it at most once. Why this works: let a and b be the first attempts of the two halves of the 10 s before a window, c and d those of its own halves. What is saved is at most 0.28 (b + 0.29 a) times the ratio, what is added 0.7 (c + d); the platform allows the most of c + d, b + c and a + b, and the sum is at most 0.98 of that.

--- a/internal/backends/budget.go
+++ b/internal/backends/budget.go
@@ -10,17 +10,19 @@
 
 const (
 	budgetShare = 0.7 // share of the allowed retries that is used
-	// savedTime is the time for which unused retries are kept. It is below half of the
-	// windows of 10 s in which the platform counts retries: with budgetShare, a window in
-	// which all that was saved is used too stays within what is allowed.
+	// savedTime is the time constant with which first attempts count for what may be saved.
 	savedTime = 4 * time.Second
+	// savedShare is the share of the retries of this time that may be saved. Windows in
+	// which the platform counts retries may begin with a full bucket, when as many first
+	// attempts follow as came before: budgetShare*(1+savedShare) must not exceed 1.
+	savedShare = 0.4
 )
 
 // RetryBudget limits the retries to each service to a share of the first attempts plus
 // a constant for the whole fleet. It is a token bucket per service: each first attempt
 // adds a fraction of a token, each retry takes one token. The bucket holds this daemon's
-// part of the constant, and what was added within savedTime at the recent rate. It is
-// safe for concurrent use.
+// part of the constant, and savedShare of what was added within savedTime at the recent
+// rate. It is safe for concurrent use.
 type RetryBudget struct {
 	mu        sync.Mutex
 	buckets   map[model.PoolName]*bucket
@@ -66,7 +68,7 @@
 	bucket.recent = bucket.recent*math.Exp(-now.Sub(bucket.firstAt).Seconds()/savedTime.Seconds()) + 1
 	bucket.firstAt = now
 	added := budgetShare * b.ratio
-	bucket.tokens = min(bucket.tokens+added, b.constantPart()+added*(bucket.recent-1))
+	bucket.tokens = min(bucket.tokens+added, b.constantPart()+savedShare*added*(bucket.recent-1))
 }
 
 // Take takes a token for a retry and reports whether the retry is allowed.
