httplink: a cancelled request does not wait for its connection

Callers: at the end of the grace period, requests in progress have 0.2 s for their answers; one whose connection was being opened got it only after up to 0.3 s, when the callers' connections had been closed: a request that was read ends without an answer. Change: the dial runs in a goroutine; when the context ends, the exchange fails at once and the connection becomes an idle one of the pool, so that the limit still counts it. Evidence: TestCancelledRequestDoesNotWaitForItsConnection failed before (0.40 s of a dial of 0.40 s, bound 0.2 s). httplink, backends and dispatcher pass.

--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -43,7 +43,7 @@
 	if ctx.Err() != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
-	c, err := p.acquire()
+	c, err := p.acquire(ctx)
 	if err != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
 	}
--- a/internal/httplink/exchange_test.go
+++ b/internal/httplink/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -242,3 +243,31 @@
 	must.ErrorIs(t, failure, cause)
 	must.False(t, failure.Sent)
 }
+
+// At the end of a daemon's grace period, a request that was waiting for a connection got its
+// answer only when the dial had ended, after the callers' connections were closed.
+func TestCancelledRequestDoesNotWaitForItsConnection(t *testing.T) {
+	const dialTime = 400 * time.Millisecond
+	address := startPeer(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	opened := make(chan struct{})
+	pool := NewPool(address, 1, func(address string) (net.Conn, error) {
+		defer close(opened)
+		time.Sleep(dialTime)
+		return dialTCP(address)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(dialTime/10, cancel)
+	started := time.Now()
+	_, failure := pool.Do(ctx, newGetRequest(), &fasthttp.Response{})
+	must.NotNil(t, failure)
+	must.ErrorIs(t, failure, context.Canceled)
+	must.False(t, failure.Sent)
+	must.Less(t, dialTime/2, time.Since(started))
+	must.Eq(t, 1, pool.Open())
+	<-opened
+	pool.Close()
+	for end := time.Now().Add(time.Second); pool.Open() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, 0, pool.Open())
+}
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -102,8 +103,9 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquire() (*conn, error) {
+// acquire returns an idle connection that is still usable, or a new one. It fails with the
+// cause of ctx's end if ctx ends while a connection is opened.
+func (p *Pool) acquire(ctx context.Context) (*conn, error) {
 	for {
 		c := p.popIdle()
 		if c == nil {
@@ -114,7 +116,7 @@
 		}
 		p.discard(c)
 	}
-	return p.dialNew()
+	return p.dialNew(ctx)
 }
 
 // popIdle returns the most recently used idle connection, or nil.
@@ -130,8 +132,15 @@
 	return c
 }
 
-// dialNew opens a connection, or returns ErrPoolFull if the limit is reached.
-func (p *Pool) dialNew() (*conn, error) {
+// dialResult is the outcome of opening a connection.
+type dialResult struct {
+	raw net.Conn
+	err error
+}
+
+// dialNew opens a connection, or returns ErrPoolFull if the limit is reached. If ctx ends
+// meanwhile, the connection becomes an idle one of the pool once it is open.
+func (p *Pool) dialNew(ctx context.Context) (*conn, error) {
 	p.mu.Lock()
 	if p.open >= p.limit {
 		p.mu.Unlock()
@@ -139,14 +148,36 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	raw, err := p.dial(p.address)
-	if err != nil {
+	dialed := make(chan dialResult, 1)
+	go func() {
+		raw, err := p.dial(p.address)
+		dialed <- dialResult{raw: raw, err: err}
+	}()
+	select {
+	case d := <-dialed:
+		return p.newConn(d)
+	case <-ctx.Done():
+		go p.keepIdle(dialed)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// keepIdle waits for a connection that nobody needs any more and makes it an idle one.
+func (p *Pool) keepIdle(dialed <-chan dialResult) {
+	if c, err := p.newConn(<-dialed); err == nil {
+		p.release(c)
+	}
+}
+
+// newConn returns a connection that was opened.
+func (p *Pool) newConn(d dialResult) (*conn, error) {
+	if d.err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
-		return nil, err
+		return nil, d.err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: d.raw}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	c.writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c, nil
