backends: a request cancelled while its connection opens is no failure of the server

Callers: later requests avoid a sound server for 0.4 s, and its failure rate rises, when a caller closed its connection while the daemon opened one to the server. Cause: recordResult takes each attempt that was not sent for a failed dial, also one that its caller or the end of the grace period ended. Change: such an attempt says nothing about the server, as one that is cancelled later. Evidence: TestRequestCancelledWhileItsConnectionOpensIsNoFailureOfTheServer failed before (ejected).

--- a/internal/backends/gate_test.go
+++ b/internal/backends/gate_test.go
@@ -100,3 +100,24 @@
 	must.False(t, b.MayChoose(h.servers[0], time.Now()))
 	must.True(t, b.MayChoose(later, time.Now()))
 }
+
+// A server counted as failing, and was left out for 0.4 s, when a caller closed its
+// connection, or the grace period ended, while the connection to the server was opened.
+func TestRequestCancelledWhileItsConnectionOpensIsNoFailureOfTheServer(t *testing.T) {
+	h := newHerd(t)
+	b, server := h.daemons[0], h.servers[0]
+	b.dialect = unchangedRequests{}
+	ctx, cancel := context.WithCancel(context.Background())
+	pool := httplink.NewPool("server", 1, func(string) (net.Conn, error) {
+		cancel()
+		toServer, _ := net.Pipe()
+		return toServer, nil
+	})
+	e := &endpoint{server: server, pool: pool}
+	b.endpoints[server.ID] = e
+	result := b.Send(ctx, &Attempt{ID: "cancelled", Server: server, Request: &fasthttp.Request{}, Deadline: time.Now().Add(time.Second)})
+	pool.Close()
+	must.Eq(t, NotRun, result.Execution)
+	must.True(t, e.state.ejectedUntil.IsZero())
+	must.Eq(t, 0, e.state.failureRate)
+}
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -274,6 +274,8 @@
 		if a.Keyed {
 			b.stats.recordShed(a.Server.Service, a.Server.ID, load.Running+load.Waiting)
 		}
+	case r.Execution == NotRun && cancelled && now.Before(a.Deadline):
+		// The request ended before its connection was open: this is not a failure of the server.
 	case r.Execution == NotRun && errors.Is(r.Err, httplink.ErrPoolFull):
 		// This daemon's limit of connections is reached: this is not a failure of the server.
 	case r.Execution == NotRun:
