config, gateway: the steps of the shutdown fit short grace periods

Callers: with a grace period of 2 s a request at a server was cut off 1.3 s after SIGTERM (502, outcome unknown), though a server may be at work until the last sixth; and requests were accepted until then, however little time was left. Cause: the times of the shutdown are fixed (refuse after 2.5 s, listener after 3.5 s, end 0.7 s before the kill), whatever grace_seconds is. Change: config.Shutdown computes them: the same times from 6 s on, the same parts of a shorter period, the end never before five sixths. 6 s, which the sites have, is unchanged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,14 +213,10 @@
 	return err
 }
 
-// graceMargin is subtracted from the grace period, so that Stop returns before the
-// process is killed.
-const graceMargin = 700 * time.Millisecond
-
 // ShutdownTimeout returns the time that Stop may take under the settings.
 func (d *Daemon) ShutdownTimeout() time.Duration {
 	if d.config.Fenced != nil {
-		return time.Duration(d.config.Fenced.GraceSeconds*float64(time.Second)) - graceMargin
+		return d.config.Fenced.Shutdown().End
 	}
 	return time.Duration(d.config.ShutdownSeconds) * time.Second
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,15 +27,12 @@
 
 // Limits of callers' connections, timing of shutdown and readiness.
 const (
-	maxHeaderBytes     = 20 * 1024               // size limit of a request's headers
-	readTimeout        = 10 * time.Second        // time limit for reading a request's headers
-	idleTimeout        = 60 * time.Second        // idle connections are closed after this time
-	bodyMemoryDivisor  = 4                       // request bodies may take 1/bodyMemoryDivisor of the configured memory
-	balancerNoticeTime = 3500 * time.Millisecond // time until the load balancer has noticed that the daemon is not ready
-	drainAcceptTime    = 2500 * time.Millisecond // a draining daemon accepts requests for this time; later ones might be cut off
-	lastAnswersTime    = 200 * time.Millisecond  // time for the answers to requests that end with the grace period
-	pruneInterval      = 2 * time.Second         // interval between removals of stale state
-	maxOwnersWait      = 4 * time.Second         // time after the start for which readiness waits for the owners of keys
+	maxHeaderBytes    = 20 * 1024        // size limit of a request's headers
+	readTimeout       = 10 * time.Second // time limit for reading a request's headers
+	idleTimeout       = 60 * time.Second // idle connections are closed after this time
+	bodyMemoryDivisor = 4                // request bodies may take 1/bodyMemoryDivisor of the configured memory
+	pruneInterval     = 2 * time.Second  // interval between removals of stale state
+	maxOwnersWait     = 4 * time.Second  // time after the start for which readiness waits for the owners of keys
 )
 
 // Gateway serves callers' requests and the load balancer's readiness checks.
@@ -55,6 +52,7 @@
 	bodyBytes     atomic.Int64 // bytes of request bodies in memory
 	maxBodyBytes  int64
 	activeCalls   atomic.Int64 // requests in progress
+	shutdown      config.Shutdown
 	started       time.Time
 	ready         atomic.Bool
 	draining      atomic.Bool
@@ -91,6 +89,7 @@
 		log:          log.Named(string(ServiceName)),
 		meters:       newMeters(registry),
 		maxBodyBytes: c.Fenced.MemoryBytes() / bodyMemoryDivisor,
+		shutdown:     c.Fenced.Shutdown(),
 	}
 }
 
@@ -157,9 +156,9 @@
 }
 
 // refusesRequests reports whether the daemon has been draining for longer than
-// drainAcceptTime and refuses new requests.
+// shutdown.Refuse and refuses new requests.
 func (g *Gateway) refusesRequests() bool {
-	return g.draining.Load() && time.Since(time.Unix(0, g.drainingSince.Load())) > drainAcceptTime
+	return g.draining.Load() && time.Since(time.Unix(0, g.drainingSince.Load())) > g.shutdown.Refuse
 }
 
 // discardLogger drops fasthttp's log lines about callers' connections.
@@ -223,7 +222,7 @@
 // has had time to notice that the daemon is not ready; then the requests in
 // progress are finished.
 func (g *Gateway) Drain(ctx context.Context) error {
-	noticed := time.Unix(0, g.drainingSince.Load()).Add(balancerNoticeTime)
+	noticed := time.Unix(0, g.drainingSince.Load()).Add(g.shutdown.Noticed)
 	select {
 	case <-time.After(time.Until(noticed)):
 	case <-ctx.Done():
@@ -249,7 +248,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		g.log.Warn("grace period is over, refusing the requests in progress", zap.Int64("requests", g.activeCalls.Load()))
 		g.watch.CancelAll(errGraceOver)
-		time.AfterFunc(lastAnswersTime, cancel)
+		time.AfterFunc(g.shutdown.LastAnswers, cancel)
 	})
 	defer stop()
 	return g.callerServer.ShutdownWithContext(answered)
