gateway: answers to requests in progress at shutdown close their connections

Callers: a request that was in progress at SIGTERM is answered without Connection: close, so the caller keeps the connection to a daemon that ends: its next request is refused, or crosses the close 3.5 s later, instead of reaching another daemon at once. Change: it is read at the answer. Evidence: TestAnswerToRequestInProgressAtShutdownClosesItsConnection failed before.

--- a/internal/daemon/fenced_grace_test.go
+++ b/internal/daemon/fenced_grace_test.go
@@ -1,12 +1,14 @@
 package daemon_test
 
 import (
+	"context"
 	"os"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/standin/fenced"
@@ -56,3 +58,24 @@
 	must.Eq(t, 0, c.runs(resp.id))
 	<-exited
 }
+
+// The answer to a request that was in progress when SIGTERM arrived left its connection open:
+// the caller's next request met the close of the connection instead of another daemon.
+func TestAnswerToRequestInProgressAtShutdownClosesItsConnection(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: longRun})
+	d := c.daemons[0]
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://" + d.Config().CallerAddress + "/list/x")
+	req.UseHostHeader = true
+	req.Header.SetHost(host)
+	req.Header.Set("Chicorylug-Attempt-Id", "in-progress")
+	answered := make(chan error, 1)
+	go func() { answered <- fasthttp.Do(&req, &resp) }()
+	time.Sleep(begun)
+	go func() { _ = d.Stop(context.Background()) }()
+	must.NoError(t, <-answered)
+	must.Eq(t, 200, resp.StatusCode())
+	must.True(t, resp.ConnectionClose())
+}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -63,14 +63,14 @@
 	g.activeCalls.Add(1)
 	defer g.activeCalls.Add(-1)
 	c := &call{gateway: g, ctx: ctx, arrived: time.Now(), headers: g.dialect.ReadCallerRequest(&ctx.Request.Header)}
-	closing := ctx.Request.Header.ConnectionClose() || g.draining.Load()
+	callerCloses := ctx.Request.Header.ConnectionClose()
 	refusal := c.run()
 	if refusal != nil {
 		c.refuse(refusal)
 	} else {
 		c.logAnswered()
 	}
-	if closing {
+	if callerCloses || g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
 }
