rpc: a call that is cancelled or out of time leaves the other calls alone

Callers: requests for keys wait at their server's dispatcher, those of one daemon on one connection. When one caller closed its connection while its request waited, or one call was out of time, all others lost their places: they were sent without tickets, to servers that turn them away when full, and the dispatcher counted as down for 2 s. Polls, status queries and requests to step down on the same connection failed as well: two such failures replace a keeper. Cause: Call closes the shared connection when any call's context ends, since a blocked write ends in no other way.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -42,7 +42,7 @@
 func NewServer(registry *metrics.Registry) *Server {
 	return &Server{
 		meter:   newMeter(registry),
-		methods: handler.Map{},
+		methods: handler.Map{string(methodCancel): serveCancel},
 		conns:   map[net.Conn]*jrpc2.Server{},
 	}
 }
@@ -118,7 +118,7 @@
 type peer struct {
 	mu     sync.Mutex
 	client *jrpc2.Client
-	conn   net.Conn
+	conn   *peerConn
 	// stopped reports that the client has stopped. The client's own IsStopped would
 	// block while a write is in progress, and so on a peer that does not read.
 	stopped *atomic.Bool
@@ -142,9 +142,10 @@
 }
 
 // Call calls a method of the peer at address (ip:port). Errors name the method and
-// the peer. A *RemoteError means that the peer answered with an error. After any
-// other error of a call its connection is closed. jrpc2.InternalError is the code with
-// which the client itself reports a connection that failed during a call.
+// the peer. A *RemoteError means that the peer answered with an error. jrpc2.InternalError
+// is the code with which the client itself reports a connection that failed during a call.
+// The connection, which other calls share, outlasts a call whose context ends, unless it
+// does not work any more.
 func Call[Resp, Req any](ctx context.Context, c *Client, address string, method Method, req *Req) (*Resp, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -152,13 +153,12 @@
 		defer cancel()
 	}
 	p := c.peer(address)
-	client, err := p.connect(c, address)
+	client, conn, err := p.connect(c, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s: dial %s", method, address)
 	}
-	// A write to a peer that can't be reached does not end with the context. Closing
-	// the connection ends it.
-	stop := context.AfterFunc(ctx, func() { p.drop(client) })
+	began := time.Now()
+	stop := context.AfterFunc(ctx, func() { p.dropBroken(client, conn, began, ctx.Err()) })
 	defer stop()
 	resp := new(Resp)
 	err = client.CallResult(ctx, string(method), req, resp)
@@ -169,7 +169,9 @@
 	if errors.As(err, &remote) && remote.Code != jrpc2.InternalError && ctx.Err() == nil {
 		return nil, &RemoteError{Peer: address, Method: method, Message: remote.Message}
 	}
-	p.drop(client)
+	if ctx.Err() == nil {
+		p.drop(client)
+	}
 	return nil, errors.Wrapf(err, "%s: call %s", method, address)
 }
 
@@ -184,26 +186,36 @@
 	return p
 }
 
-// connect returns the client of the current connection, or dials a new one if there
+// connect returns the current connection and its client, or dials a new one if there
 // is none or the client has stopped.
-func (p *peer) connect(c *Client, address string) (*jrpc2.Client, error) {
+func (p *peer) connect(c *Client, address string) (*jrpc2.Client, *peerConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client != nil && !p.stopped.Load() {
-		return p.client, nil
+		return p.client, p.conn, nil
 	}
-	conn, err := c.network.Dial(address)
+	raw, err := c.network.Dial(address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	metered := &meteredConn{Conn: conn, meter: c.meter}
-	p.conn = conn
+	p.conn = &peerConn{Conn: &meteredConn{Conn: raw, meter: c.meter}}
 	stopped := &atomic.Bool{}
 	p.stopped = stopped
-	p.client = jrpc2.NewClient(channel.Line(metered, metered), &jrpc2.ClientOptions{
-		OnStop: func(*jrpc2.Client, error) { stopped.Store(true) },
+	p.client = jrpc2.NewClient(channel.Line(p.conn, p.conn), &jrpc2.ClientOptions{
+		OnCancel: sendCancel,
+		OnStop:   func(*jrpc2.Client, error) { stopped.Store(true) },
 	})
-	return p.client, nil
+	return p.client, p.conn, nil
+}
+
+// dropBroken closes the connection of a call that began at a time and whose context has
+// ended with err, if the connection does not work: a write blocks, which nothing else ends,
+// or the peer has sent nothing in the whole time that the call had.
+func (p *peer) dropBroken(client *jrpc2.Client, conn *peerConn, began time.Time, err error) {
+	outOfTime := errors.Is(err, context.DeadlineExceeded)
+	if (outOfTime && conn.silentSince(began)) || conn.writeBlocks() {
+		p.drop(client)
+	}
 }
 
 // drop closes the connection of a client after a failed call, unless the connection
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -136,3 +136,70 @@
 	var remote *rpc.RemoteError
 	must.False(t, errors.As(err, &remote), must.Sprint(err))
 }
+
+const methodWait rpc.Method = "wait"
+
+// waitRequest asks the server to answer after a time.
+type waitRequest struct {
+	MS int64 `json:"ms"`
+}
+
+// startWaitingServer starts a server of methodWait. The channel receives the time for which
+// each call waited that was cancelled.
+func startWaitingServer(t *testing.T) (string, <-chan time.Duration) {
+	cancelled := make(chan time.Duration, 1)
+	server := rpc.NewServer(metrics.New())
+	rpc.Handle(server, methodWait, func(ctx context.Context, request *waitRequest) (*nextResponse, error) {
+		began := time.Now()
+		select {
+		case <-time.After(time.Duration(request.MS) * time.Millisecond):
+			return &nextResponse{}, nil
+		case <-ctx.Done():
+			cancelled <- time.Since(began)
+			return nil, ctx.Err()
+		}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go server.Serve(listener)
+	t.Cleanup(server.Close)
+	return listener.Addr().String(), cancelled
+}
+
+// When one caller closed its connection while its request waited for a ticket, the requests
+// of all others that waited at the same daemon lost their places: they were sent without
+// tickets, and the daemon counted as down for 2 s.
+func TestCancelledCallLeavesOtherCallsAlone(t *testing.T) {
+	const wait, cancelledAfter = 400 * time.Millisecond, 100 * time.Millisecond
+	for name, newContext := range map[string]func() (context.Context, context.CancelFunc){
+		"cancelled": func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(cancelledAfter, cancel)
+			return ctx, cancel
+		},
+		"out of time": func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), cancelledAfter)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, cancelled := startWaitingServer(t)
+			c := newClient(t, &netx.Network{})
+			other := make(chan error, 1)
+			go func() {
+				_, err := rpc.Call[nextResponse](context.Background(), c, address, methodWait, &waitRequest{MS: wait.Milliseconds()})
+				other <- err
+			}()
+			time.Sleep(cancelledAfter / 2)
+			ctx, cancel := newContext()
+			defer cancel()
+			go func() {
+				time.Sleep(cancelledAfter / 2)
+				_, _ = rpc.Call[nextResponse](context.Background(), c, address, methodWait, &waitRequest{}) // the peer answers meanwhile
+			}()
+			_, err := rpc.Call[nextResponse](ctx, c, address, methodWait, &waitRequest{MS: time.Minute.Milliseconds()})
+			must.Error(t, err)
+			must.NoError(t, <-other)
+			must.Less(t, wait, <-cancelled) // its place is free at once
+		})
+	}
+}
