--- a/internal/daemon/fenced_grace_test.go
+++ b/internal/daemon/fenced_grace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -79,3 +80,64 @@
 	must.Eq(t, 200, resp.StatusCode())
 	must.True(t, resp.ConnectionClose())
 }
+
+// Requests that wait at a dispatcher are answered when it stops: they are served, or refused
+// as not run.
+func TestRequestsThatWaitAtDispatcherAreAnsweredWhenItStops(t *testing.T) {
+	const requests = 48
+	c := newClusterWithSlots(t, 2, 4, 1, 1)
+	for _, s := range c.servers {
+		s.SetFaults(fenced.Faults{ExtraServiceTime: begun})
+	}
+	received := make(chan response, requests)
+	for number := range requests {
+		go func() { received <- c.send(c.daemons[0], "GET", "/read/x", number*65536/requests, "") }()
+	}
+	time.Sleep(begun)
+	c.daemons[1].Kill()
+	for range requests {
+		resp := <-received
+		if resp.status != 200 {
+			must.Eq(t, 503, resp.status, must.Sprint(resp))
+			must.Eq(t, 0, c.runs(resp.id), must.Sprint(resp))
+		}
+	}
+}
+
+// newestConnections sends requests on new connections, one after another, until the daemon
+// refuses them. It returns the attempt ids of those without an answer.
+func (c *cluster) newestConnections(address string) []string {
+	var unanswered []string
+	for {
+		resp := c.sendTo(address, "GET", "/list/x", -1, "")
+		switch {
+		case strings.Contains(resp.body, "refused") && resp.status == 0:
+			return unanswered
+		case resp.status == 0:
+			unanswered = append(unanswered, resp.id)
+		}
+	}
+}
+
+// A connection that waits in the listener's backlog when it closes is reset. No server may
+// have run its request.
+func TestNoRequestRunsOnConnectionThatListenerDrops(t *testing.T) {
+	const callers = 8
+	c := newListCluster(t, 1, manySlots)
+	d := c.daemons[0]
+	address := d.Config().CallerAddress
+	unanswered := make(chan []string, callers)
+	for range callers {
+		go func() { unanswered <- c.newestConnections(address) }()
+	}
+	time.Sleep(begun)
+	must.NoError(t, d.Stop(context.Background()))
+	dropped := 0
+	for range callers {
+		for _, id := range <-unanswered {
+			dropped++
+			must.Eq(t, 0, c.runs(id), must.Sprint(id))
+		}
+	}
+	t.Logf("%d connections were dropped", dropped)
+}
