keeper: a keeper without the shared records stops by itself

Callers saw, in the simulation only: a key with two owners. A keeper whose polls for the shared records failed, but not those for registrations, did not hear of its successor. If only the old keeper reached a server, it renewed that server's grants for ever, while the successor gave the keys to another one after 14.55 s.

Cause: the 12 s for which a keeper renews without the store counted from answers about any collection. Only those about platform.Shared name a later keeper.

Change: the keeper counts from the last answer about platform.Shared.

The simulation now has cuts between one daemon and one server, reads of the shared records that fail at one daemon, and a call to a server that was never reached counts as not sent, as with the real client.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,9 +76,11 @@
 
 	// currentAsOf is when the store last answered this daemon or, if later, one of
 	// the daemons that this daemon polls. storeAnsweredAt is when the store last answered
-	// this daemon itself. Both are nil before the first answer.
-	currentAsOf     atomic.Pointer[time.Time]
-	storeAnsweredAt atomic.Pointer[time.Time]
+	// this daemon itself, and sharedAnsweredAt when it last did so about platform.Shared. All
+	// are nil before the first answer.
+	currentAsOf      atomic.Pointer[time.Time]
+	storeAnsweredAt  atomic.Pointer[time.Time]
+	sharedAnsweredAt atomic.Pointer[time.Time]
 	// registrationsAsOf is the time as of which the copy of the registrations is current. Nil
 	// before the first read.
 	registrationsAsOf  atomic.Pointer[time.Time]
@@ -194,6 +196,10 @@
 // StoreAge returns the time since the store last answered this daemon, 24 h before the first answer.
 func (f *Follower) StoreAge() time.Duration { return age(&f.storeAnsweredAt) }
 
+// SharedAge returns the time since the store last answered this daemon about platform.Shared,
+// 24 h before the first answer.
+func (f *Follower) SharedAge() time.Duration { return age(&f.sharedAnsweredAt) }
+
 // CopyAge returns the age of the copies: the time since the store last answered this
 // daemon or one that it polls, 24 h before the first answer.
 func (f *Follower) CopyAge() time.Duration { return age(&f.currentAsOf) }
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -159,8 +159,11 @@
 func (f *Follower) applyAnswer(c platform.Collection, u update) {
 	f.markStoreAnswered()
 	f.applyUpdate(c, u)
-	if c == platform.Servers {
+	switch c {
+	case platform.Servers:
 		markCurrent(&f.registrationsAsOf, time.Now())
+	case platform.Shared:
+		markCurrent(&f.sharedAnsweredAt, time.Now())
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -61,6 +61,9 @@
 	Designated() bool
 	// StoreAge returns the time since the store last answered this daemon.
 	StoreAge() time.Duration
+	// SharedAge returns the time since the store last answered this daemon about platform.Shared,
+	// whose records name the keepers.
+	SharedAge() time.Duration
 	// StoreReachable reports whether this daemon currently gets answers from the store.
 	StoreReachable() bool
 	// StoreEra returns the newest era of the store that this daemon has heard of.
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -79,7 +79,7 @@
 func (h *history) startDaemon(index int) {
 	h.incarnations++
 	d := &simDaemon{
-		sim: h.simulation, catalog: catalog.New(), storeSeenAt: time.Now(),
+		sim: h.simulation, catalog: catalog.New(), storeSeenAt: time.Now(), sharedSeenAt: time.Now(), serverCutUntil: map[string]time.Time{},
 		records: map[string]platform.Record{}, era: platform.FirstEra, registrations: newRegistrations(),
 		self: follow.Daemon{Name: model.DaemonID(fmt.Sprintf("daemon-%d", index)), Incarnation: model.Incarnation(fmt.Sprintf("life-%d", h.incarnations))},
 	}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -13,7 +13,7 @@
 
 // renewLoop renews the grants that are due. It steps down when the process was paused
 // for too long, when another daemon has become the keeper, or when the store has not
-// answered for too long.
+// answered for too long about the records that name the keepers.
 func (s *serviceKeeper) renewLoop() {
 	defer s.done.Done()
 	pauses := newPauseClock()
@@ -28,13 +28,13 @@
 			return
 		}
 		now := time.Now()
-		s.storeSeenAt = later(s.storeSeenAt, now.Add(-s.keeper.follow.StoreAge()))
+		s.recordsSeenAt = later(s.recordsSeenAt, now.Add(-s.keeper.follow.SharedAge()))
 		if owners := s.keeper.catalog.Load().Owners[s.service]; owners != nil && s.supersededBy(owners) {
 			s.stepDown("another daemon is the keeper", zap.Uint64("its_term", uint64(owners.Term)))
 			return
 		}
-		if storeAge := now.Sub(s.storeSeenAt); storeAge > maxRenewWithoutStore {
-			s.stepDown("no answer from the store", zap.Duration("for", storeAge))
+		if recordsAge := now.Sub(s.recordsSeenAt); recordsAge > maxRenewWithoutStore {
+			s.stepDown("no answer from the store", zap.Duration("for", recordsAge))
 			return
 		}
 		s.renewDue(now)
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -24,9 +24,12 @@
 const modelRewriteTime = time.Second
 
 // startHistory starts the servers and two daemons, and waits until the keys have owners.
-func startHistory() *history {
+func startHistory() *history { return startHistoryOf(modelServers) }
+
+// startHistoryOf is startHistory with another number of servers.
+func startHistoryOf(servers int) *history {
 	sim := newSimulation()
-	h := &history{simulation: sim, servers: make([]*process, modelServers), log: sim.logger()}
+	h := &history{simulation: sim, servers: make([]*process, servers), log: sim.logger()}
 	for i := range h.servers {
 		id := fmt.Sprintf("server-%d", i)
 		h.startServer(i, id, id)
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -50,7 +50,7 @@
 	steppedDown          bool
 	balancedAt           time.Time // when the last round of balancing began
 	noMovesBefore        time.Time // after a failed write, see writeFailureDelay
-	storeSeenAt          time.Time // when the store last answered; used by renewLoop only
+	recordsSeenAt        time.Time // as of when no other keeper was named; used by renewLoop only
 	doubt                doubt     // used by moveLoop only
 
 	ctx    context.Context
@@ -69,7 +69,7 @@
 		earlierGrantsUntil: earlierGrantsUntil,
 		leaving:            leavingServers{},
 		missingSince:       map[model.ServerID]time.Time{},
-		storeSeenAt:        time.Now(),
+		recordsSeenAt:      time.Now(),
 	}
 	if owners.EarlierKeeperMayRenew {
 		s.earlierReleasesUntil = time.Now().Add(maxStoreAge + maxGrantLifetime(k.grantHold()))
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -295,9 +295,9 @@
 		return nil, err
 	}
 	time.Sleep(modelMessageDelay)
-	if c.from.cutOffFromServers() {
+	if c.from.cutOffFrom(c.server.Address) {
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return nil, c.cutOffError(ctx)
 	}
 	c.sim.mu.Lock()
 	p := c.sim.byAddress[c.server.Address]
@@ -314,6 +314,20 @@
 	return p, nil
 }
 
+// errNoConnection says that no connection to a server could be opened: nothing was sent.
+var errNoConnection = errors.New("no connection")
+
+// cutOffError returns the error of a call that the cut between the daemon and the server
+// ended: without an open connection nothing was sent.
+func (c *simClient) cutOffError(ctx context.Context) error {
+	c.sim.mu.Lock()
+	defer c.sim.mu.Unlock()
+	if c.firstProcess == nil {
+		return errors.Wrap(errNoConnection, "dial")
+	}
+	return ctx.Err()
+}
+
 func (c *simClient) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
@@ -322,7 +336,8 @@
 	}
 	p, err := c.connect(ctx)
 	if err != nil {
-		return dialect.GrantRefused, callResult{sent: !errors.Is(err, errNotListening), err: err}
+		notSent := errors.Is(err, errNotListening) || errors.Is(err, errNoConnection)
+		return dialect.GrantRefused, callResult{sent: !notSent, err: err}
 	}
 	sim := c.sim
 	sim.mu.Lock()
@@ -376,7 +391,7 @@
 func (c *simClient) lostConns() bool {
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
-	c.connsLost = c.connsLost || (c.firstProcess != nil && c.from.cutOffFromServers())
+	c.connsLost = c.connsLost || (c.firstProcess != nil && c.from.cutOffFrom(c.server.Address))
 	return c.connsLost
 }
 
@@ -447,13 +462,18 @@
 	era           platform.Era // of the store, as far as this daemon has heard
 	followedSince platform.Era // of the first read of the records, 0 before
 	storeSeenAt   time.Time
+	sharedSeenAt  time.Time // of the last read of the records
 	pausedUntil   time.Time // the process is paused
 	storeCutUntil time.Time // the store does not answer this daemon
 	deafUntil     time.Time // the store does what this daemon asks, but its answers are lost
 	registrations registrations
 	isolatedUntil time.Time // the other daemons can't reach it
-	// serversCutUntil is the time until which it reaches no server.
+	// sharedCutUntil is the time until which its reads of the records fail.
+	sharedCutUntil time.Time
+	// serversCutUntil is the time until which it reaches no server, and serverCutUntil that
+	// until which it does not reach the server at an address.
 	serversCutUntil time.Time
+	serverCutUntil  map[string]time.Time
 	killed          bool
 	ctx             context.Context
 	cancel          context.CancelFunc
@@ -466,11 +486,11 @@
 	d.keeper.stopAll()
 }
 
-// cutOffFromServers reports whether the daemon reaches no server now.
-func (d *simDaemon) cutOffFromServers() bool {
+// cutOffFrom reports whether the daemon does not reach the server at an address now.
+func (d *simDaemon) cutOffFrom(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Now().Before(d.serversCutUntil)
+	return time.Now().Before(later(d.serversCutUntil, d.serverCutUntil[address]))
 }
 
 var errKilled = errors.New("the process has ended")
@@ -606,6 +626,13 @@
 	return time.Since(d.storeSeenAt)
 }
 
+// SharedAge implements fleetView.
+func (d *simDaemon) SharedAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.sharedSeenAt)
+}
+
 // StoreReachable implements fleetView.
 func (d *simDaemon) StoreReachable() bool { return d.StoreAge() < time.Second }
 
@@ -638,6 +665,12 @@
 
 // RefreshShared implements fleetView.
 func (d *simDaemon) RefreshShared(ctx context.Context) {
+	d.mu.Lock()
+	cut := time.Now().Before(d.sharedCutUntil)
+	d.mu.Unlock()
+	if cut {
+		return
+	}
 	var records []platform.Record
 	var era platform.Era
 	err := d.callStore(ctx, func(sim *simulation) error {
@@ -652,6 +685,7 @@
 		return
 	}
 	d.mu.Lock()
+	d.sharedSeenAt = time.Now()
 	d.era = max(d.era, era)
 	if d.followedSince == 0 {
 		d.followedSince = era
