follow: a daemon that restarts in a new era is known at its new address

Callers could see: a keeper that restarted at another address while the store came back is taken for ended, since the others ask its earlier address for as long as the era lasts. Its successor then grants after 2.55 s, though the keeper may renew for 12 s.

Cause: a record that replaces one of an earlier era was ignored, as it may be the copy's. That a daemon registers once, at its start, made this last.

Change: the record of a daemon states the era that it was written for. A copy has no record of a later era than its own, so one that states a later era than the known one is news. A daemon that finds the store in another era than it wrote for writes again at once. The encoded form of the record has one more field, left out in the first era; it is recorded. What concerns the records of daemons is in a file of its own.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,7 +18,6 @@
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
-	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
 	"github.com/chicorylug/chicorylug/internal/rpc"
 )
@@ -30,24 +28,6 @@
 // collections are the collections of the store that every daemon replicates.
 var collections = []platform.Collection{platform.Configurations, platform.Servers, platform.Shared}
 
-// Daemon is the record with which a daemon registers itself in the store. The encoded
-// names are kept for daemons of other builds.
-type Daemon struct {
-	Name        model.DaemonID    `json:"name"`
-	Incarnation model.Incarnation `json:"life"`
-	Zone        model.Zone        `json:"zone"`
-	Control     string            `json:"control"` // ip:port at which other daemons call it
-	// Cores is the number of processor cores that the daemon may use.
-	Cores float64 `json:"cores"`
-}
-
-// Score returns the daemon's score for a task; the daemon with the highest score is
-// chosen. All daemons compute the same score, and a daemon is chosen for a share of
-// the tasks that grows with its cores.
-func (d Daemon) Score(task string) float64 {
-	return placement.WeightedScore(task, string(d.Name), d.Cores)
-}
-
 // Follower keeps the copies of the collections current and publishes them to the catalog.
 type Follower struct {
 	config      *config.Config
@@ -64,7 +44,7 @@
 	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
 	mu          sync.Mutex
-	daemons     map[model.DaemonID]Daemon
+	daemons     map[model.DaemonID]daemonRecord    // as registered
 	suspectedAt map[model.DaemonID]time.Time       // when a daemon last did not answer or had outdated data
 	changed     chan struct{}                      // closed at the next change of any copy
 	servers     map[model.ServerID]*catalog.Server // used on the control goroutine only
@@ -116,7 +96,7 @@
 		log:         log.Named(string(ServiceName)),
 		replicas:    map[platform.Collection]*replica{},
 		rereads:     map[platform.Collection]*rereadLimiter{},
-		daemons:     map[model.DaemonID]Daemon{},
+		daemons:     map[model.DaemonID]daemonRecord{},
 		suspectedAt: map[model.DaemonID]time.Time{},
 		changed:     make(chan struct{}),
 		servers:     map[model.ServerID]*catalog.Server{},
@@ -156,43 +136,6 @@
 	return nil
 }
 
-// Self returns this daemon's record.
-func (f *Follower) Self() Daemon {
-	return Daemon{Name: f.config.Name, Incarnation: f.incarnation, Zone: f.config.Zone, Control: f.config.ControlAddress, Cores: f.config.Fenced.Cores}
-}
-
-// Daemons returns the registered daemons, and this one in any case.
-func (f *Follower) Daemons() []Daemon {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]Daemon, 0, len(f.daemons)+1)
-	for _, d := range f.daemons {
-		if d.Name != f.config.Name {
-			list = append(list, d)
-		}
-	}
-	return append(list, f.Self())
-}
-
-// Peers returns the control addresses (ip:port) of the other daemons that are not suspected.
-func (f *Follower) Peers() []string {
-	var peers []string
-	for _, d := range f.Daemons() {
-		if d.Name != f.config.Name && !f.Suspected(d.Name) {
-			peers = append(peers, d.Control)
-		}
-	}
-	return peers
-}
-
-// DaemonByName returns the daemon of that name, or false when it is not registered.
-func (f *Follower) DaemonByName(name model.DaemonID) (Daemon, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	d, ok := f.daemons[name]
-	return d, ok
-}
-
 // StoreAge returns the time since the store last answered this daemon, 24 h before the first answer.
 func (f *Follower) StoreAge() time.Duration { return age(&f.storeAnsweredAt) }
 
@@ -370,25 +313,6 @@
 	}
 }
 
-func (f *Follower) applyDaemon(name model.DaemonID, record change) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, known := f.daemons[name]; known && record.acrossEras {
-		return // the daemon registers again if this is not its current record
-	}
-	if record.Deleted {
-		delete(f.daemons, name)
-		return
-	}
-	var d Daemon
-	if err := json.Unmarshal(record.Value, &d); err != nil {
-		f.log.Error("daemon record could not be decoded", zap.String("daemon", string(name)), zap.Error(err))
-		return
-	}
-	f.daemons[name] = d
-	delete(f.suspectedAt, name)
-}
-
 // applyOwners publishes the owners of a service from their record of an era. A record of
 // an earlier era than the store's is used only if none of that era or a later one is
 // known: the store came back with an older copy of it, or a keeper that has not heard of
--- a/internal/follow/forms_test.go
+++ b/internal/follow/forms_test.go
@@ -11,6 +11,7 @@
 func TestEncodedFormsAreAsRecorded(t *testing.T) {
 	formtest.Check(t,
 		formtest.Form{Name: "Daemon", Value: Daemon{}},
+		formtest.Form{Name: "daemonRecord", Value: daemonRecord{}},
 		formtest.Form{Name: "wireOwner", Value: wireOwner{}},
 		formtest.Form{Name: "wireOwners", Value: wireOwners{}},
 		formtest.Form{Name: "update", Value: update{}},
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -1,9 +1,6 @@
 package follow
 
 import (
-	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,8 +28,6 @@
 	// recheckDelay is the pause before a registration is looked at again while the copy
 	// is not current enough.
 	recheckDelay = 200 * time.Millisecond
-	// registerAgainJitter spreads the writes of the daemons that register again.
-	registerAgainJitter = time.Second
 )
 
 // registrationSettleTime returns the time after which a registration that has not changed
@@ -66,23 +61,6 @@
 	}
 }
 
-// registerAgain registers this daemon if the store has lost its record.
-func (f *Follower) registerAgain(ctx context.Context) {
-	sleep(ctx, rand.N(registerAgainJitter))
-	value, err := json.Marshal(f.Self())
-	if err != nil {
-		f.log.Error("daemon record could not be encoded, daemon not registered", zap.Error(err))
-		return
-	}
-	shared := f.replicas[platform.Shared]
-	registered, ok := shared.get(platform.DaemonPrefix + string(f.config.Name))
-	if ok && registered.Era == shared.completeUpTo().Era && string(registered.Value) == string(value) {
-		return
-	}
-	f.log.Info("registering this daemon again", zap.Uint64("era", uint64(f.StoreEra())))
-	f.register(ctx)
-}
-
 // outdated reports whether a registration is not newer than what is known of the server. That
 // a process leaves is always news.
 func (f *Follower) outdated(server *catalog.Server) bool {
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -89,55 +87,3 @@
 		f.log.Warn("daemons could not be read from the store", zap.String("peer", "store"), zap.Error(err))
 	}
 }
-
-// register writes this daemon's record, replacing that of its previous incarnation. It
-// tries until it succeeds, in the background once a configuration is known.
-func (f *Follower) register(ctx context.Context) {
-	value, err := json.Marshal(f.Self())
-	if err != nil {
-		f.log.Error("daemon record could not be encoded, daemon not registered", zap.Error(err))
-		return
-	}
-	for ctx.Err() == nil {
-		err := f.putSelf(ctx, value)
-		if err == nil {
-			return
-		}
-		f.log.Warn("daemon could not be registered in the store, retrying", zap.String("peer", "store"), zap.Error(err))
-		if f.catalog.Load().Configuration != nil {
-			// The daemon can serve with what the seeds sent, so don't delay its start.
-			f.background.Go(func(ctx context.Context) {
-				sleep(ctx, storeRetryDelay)
-				f.register(ctx)
-			})
-			return
-		}
-		sleep(ctx, storeRetryDelay)
-	}
-}
-
-// putSelf writes this daemon's record once. On a conflict, or when the outcome is
-// unknown, it reads the records again, so that the next try expects the right revision.
-func (f *Follower) putSelf(ctx context.Context, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	name := platform.DaemonPrefix + string(f.config.Name)
-	expect := platform.Revision(0)
-	if registered, ok := f.replicas[platform.Shared].get(name); ok && registered.Era == f.replicas[platform.Shared].completeUpTo().Era {
-		expect = registered.Revision // one of an earlier era was lost by the store
-	}
-	record := platform.Record{Name: name, Value: value}
-	position, err := f.store.Put(ctx, platform.Shared, record, expect)
-	if err == nil {
-		f.markStoreAnswered()
-		record.Position = position
-		f.ApplyWrite(platform.Shared, record)
-		return nil
-	}
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAmbiguous) {
-		if readErr := f.readCollection(ctx, platform.Shared); readErr != nil {
-			return readErr
-		}
-	}
-	return err
-}
