keeper: a grant that was turned away does not count as one in force

Cause: seven servers ended and their addresses went to servers of another service, while the keeper changed. The new keeper had no connection to the old processes; its grants for them reached the new servers, which answer 400. Each such grant prolonged the time by which the old server "may hold keys" by 2.55 s, and is repeated every 0.1 s: the keys could not move until the keeper changed again. Class: an answer that decides is treated like no answer.

Ruled out: a call that never ends (in_flight was 1 for some ms), an outage of the store (the keeper moved other keys all the while), grants of the earlier keeper (they had ended).

Change: a 4xx or 503 answer to a grant says that it was not accepted, so it prolongs nothing; other answers and none still do.

The stand-in answers grants as servers without keys do.

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -425,6 +425,20 @@
 	c.checkOwnership()
 }
 
+// The keys of a server that had ended stayed without an owner as long as the keeper lived that
+// had taken over meanwhile: a server of another service, which has the address now, turned
+// away their grants, and each of these counted as one that might be in force.
+func TestKeysMoveFromEndedServerWhoseAddressAnotherServiceHas(t *testing.T) {
+	c := newCluster(t, 3, 3, 1)
+	old, keeper := c.servers[0], c.keeper()
+	keeper.Kill() // the next keeper has no connection to the server
+	c.daemons = c.daemonsExcept(keeper)
+	old.Crash()
+	c.startServer("another", "sealing", old.Address())
+	c.await("owners of all keys", c.checkAllKeysOwned)
+	c.checkOwnership()
+}
+
 // A server may restart under the same ID. The new process owns none of the keys that
 // the earlier one owned.
 func TestRestartedServerWithSameIDGetsKeysUnderNewFences(t *testing.T) {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -90,8 +90,11 @@
 	// GrantMisdirected says that the grant reached another server than the one that
 	// it is for.
 	GrantMisdirected
-	// GrantRefused says that the server cannot accept the grant for another reason.
+	// GrantRefused says that the server, or another one at its address, did not accept the
+	// grant for another reason.
 	GrantRefused
+	// GrantUnknown says that the server may have accepted the grant.
+	GrantUnknown
 )
 
 // Dialect encodes and decodes the messages exchanged with callers and servers, and
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -186,13 +186,13 @@
 	hold := s.keeper.grantHold()
 	outcome, result := s.clientOf(h).grant(s.ctx, dialect.Grant{From: r.From, To: r.To, Fence: r.Fence, Duration: hold, State: state})
 	s.mu.Lock()
-	if result.sent {
+	if mayBeInForce(outcome, result) {
 		h.recordSent(time.Now(), hold)
 		if current := s.holders[h.server.ID]; current != nil && current != h {
 			// The process was replaced during the call, which may have reached the new one.
 			current.earlierProcessUntil = later(current.earlierProcessUntil, h.heldUntil)
 		}
-		if result.err != nil {
+		if outcome == dialect.GrantUnknown {
 			h.unansweredUntil = h.heldUntil
 		}
 	}
@@ -209,3 +209,12 @@
 	}
 	return nil
 }
+
+// mayBeInForce reports whether a server may hold keys by a grant that was answered, or not
+// answered, like this.
+func mayBeInForce(outcome dialect.GrantOutcome, r callResult) bool {
+	if outcome != dialect.GrantAccepted && outcome != dialect.GrantUnknown {
+		return false
+	}
+	return r.sent
+}
--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -121,7 +121,7 @@
 		return c.do(ctx, pool, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
 	})
 	if result.err != nil {
-		return dialect.GrantRefused, result
+		return dialect.GrantUnknown, result
 	}
 	defer fasthttp.ReleaseResponse(response)
 	outcome := c.dialect.ReadGrantResponse(result.status)
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -332,12 +332,12 @@
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	if c.lostConns() {
-		return dialect.GrantRefused, callResult{err: errProcessConnsLost}
+		return dialect.GrantUnknown, callResult{err: errProcessConnsLost}
 	}
 	p, err := c.connect(ctx)
 	if err != nil {
 		notSent := errors.Is(err, errNotListening) || errors.Is(err, errNoConnection)
-		return dialect.GrantRefused, callResult{sent: !notSent, err: err}
+		return dialect.GrantUnknown, callResult{sent: !notSent, err: err}
 	}
 	sim := c.sim
 	sim.mu.Lock()
@@ -348,7 +348,7 @@
 	}
 	switch {
 	case p != c.firstProcess:
-		return dialect.GrantRefused, callResult{err: errProcessConnsLost}
+		return dialect.GrantUnknown, callResult{err: errProcessConnsLost}
 	case p.registered.ID != c.server.ID:
 		return dialect.GrantMisdirected, callResult{sent: true, status: http.StatusMisdirectedRequest, err: errors.Wrap(errNotListening, "another server answered")}
 	case sim.lingeringGrants > 0:
@@ -363,7 +363,7 @@
 				sim.grant(p, g, time.Now())
 			}
 		})
-		return dialect.GrantRefused, callResult{sent: true, err: ctx.Err()}
+		return dialect.GrantUnknown, callResult{sent: true, err: ctx.Err()}
 	case sim.lateGrants > 0:
 		sim.lateGrants--
 		time.AfterFunc(sim.lateness, func() {
@@ -373,12 +373,12 @@
 				sim.grant(p, g, arrived)
 			}
 		})
-		return dialect.GrantRefused, callResult{sent: true, err: context.DeadlineExceeded}
+		return dialect.GrantUnknown, callResult{sent: true, err: context.DeadlineExceeded}
 	}
 	taken := sim.grant(p, g, arrived)
 	if sim.loseGrants > 0 {
 		sim.loseGrants--
-		return dialect.GrantRefused, callResult{sent: true, err: context.DeadlineExceeded}
+		return dialect.GrantUnknown, callResult{sent: true, err: context.DeadlineExceeded}
 	}
 	if !taken {
 		return dialect.GrantStale, callResult{sent: true, status: http.StatusConflict}
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -313,6 +313,10 @@
 		ctx.Response.Header.Set(headerLeaving, "1")
 	}
 	ctx.Response.Header.Set(headerInstance, s.options.ID)
+	if path := string(ctx.Path()); !s.options.Keyed && (path == pathGrant || path == pathRelease) {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest) // whichever server the call is for
+		return
+	}
 	if expected := string(h.Peek(headerExpectedInstance)); expected != "" && expected != s.options.ID {
 		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
 		return
