keeper: log each new reason for which a server does not accept its grants

Cause: only the first failure had a line, a timeout while the server's instance was away. Change: a line for each new reason, one a second and server at most, with the time for which it lasts.

--- a/internal/keeper/failure.go
+++ b/internal/keeper/failure.go
@@ -44,9 +44,19 @@
 	h.ended = h.ended || ended
 	if !h.failing() {
 		h.failingSince = time.Now()
-		s.log.Warn("server does not accept its grants", zap.String("server", string(h.server.ID)),
-			zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
 	}
+	s.logFailure(h, failure)
+}
+
+// logFailure logs why a server does not accept its grants, once for each reason in a row and
+// once in failureLogPeriod at most. s.mu must be held.
+func (s *serviceKeeper) logFailure(h *holder, failure error) {
+	if failure.Error() == h.loggedFailure || time.Since(h.failureLoggedAt) < failureLogPeriod {
+		return
+	}
+	h.loggedFailure, h.failureLoggedAt = failure.Error(), time.Now()
+	s.log.Warn("server does not accept its grants", zap.String("server", string(h.server.ID)),
+		zap.Duration("for", time.Since(h.failingSince)), zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
 }
 
 // refence allows grants to a server again. If the connections to its process were
@@ -65,6 +75,7 @@
 // clearFailure allows grants to the server again.
 func (h *holder) clearFailure() {
 	h.connsLost, h.answering, h.ended, h.shuttingDown, h.failingSince = false, false, false, false, time.Time{}
+	h.loggedFailure, h.failureLoggedAt = "", time.Time{}
 }
 
 // checkNonOwners probes failing servers that own no keys any more, and removes those
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -20,6 +20,7 @@
 	maxConcurrentReleases = 6           // per server
 	refenceDelay          = time.Second // between two times at which a failing server gets new fences
 	recheckPeriod         = time.Second // between two probes of a failing server that owns no keys any more
+	failureLogPeriod      = time.Second // between two log lines about a failing server
 	maxCallDelay          = 100 * time.Millisecond
 )
 
@@ -63,6 +64,9 @@
 	// refencedAt is when the server last got new fences after a failure.
 	refencedAt   time.Time
 	failingSince time.Time // when the server began not to accept grants; zero while it accepts them
+	// loggedFailure is the reason that was last logged, at failureLoggedAt.
+	loggedFailure   string
+	failureLoggedAt time.Time
 }
 
 func newHolder(server *catalog.Server, client serverClient, heldUntil time.Time) *holder {
