gateway: answers say how long idle connections are kept, if callers may wait longer

Callers: with a limit of idle time above 60 s, callers reuse connections up to four fifths of it; the daemon closes them after 60 s, and their next request meets the close. Change: answers bear Keep-Alive: timeout=48 while the operators' limit is above 60 s. Evidence: TestAnswersStateIdleTimeoutIfCallersMayWaitLonger failed before (no header).

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -29,8 +29,8 @@
 }
 
 // Limits bound the size of a caller's request and the time that it may take to
-// send it. Zero means no limit. The gateway applies only BodyBytes; the others are
-// decoded from the operators' configuration and not used.
+// send it. Zero means no limit. The gateway applies BodyBytes, and tells callers if it
+// closes idle connections before IdleTimeout; the others are not used.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
--- a/internal/daemon/fenced_grace_test.go
+++ b/internal/daemon/fenced_grace_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
@@ -141,3 +143,32 @@
 	}
 	t.Logf("%d connections were dropped", dropped)
 }
+
+// The operators let callers reuse connections that have been idle for longer than the daemon
+// keeps them: the next request met the close. The answer must say how long it keeps them.
+func TestAnswersStateIdleTimeoutIfCallersMayWaitLonger(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	address := c.daemons[0].Config().CallerAddress
+	must.Eq(t, "", c.keepAlive(address))
+	c.version += 2
+	longer := strings.NewReplacer(`"IdleTimeoutS":15`, `"IdleTimeoutS":100`, fmt.Sprintf(`"Version":%d`, c.version-2), fmt.Sprintf(`"Version":%d`, c.version))
+	c.store.PutRow("op", "config", []byte(longer.Replace(string(c.configuration))))
+	c.await("stated timeout", func() error {
+		if stated := c.keepAlive(address); stated != "timeout=48" {
+			return errors.Errorf("Keep-Alive: %q", stated)
+		}
+		return nil
+	})
+}
+
+// keepAlive returns the header Keep-Alive of an answer.
+func (c *cluster) keepAlive(address string) string {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://" + address + "/list/x")
+	req.UseHostHeader = true
+	req.Header.SetHost(host)
+	req.Header.Set("Chicorylug-Attempt-Id", "kept")
+	must.NoError(c.t, fasthttp.Do(&req, &resp))
+	return string(resp.Header.Peek(fasthttp.HeaderKeepAlive))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,12 +27,13 @@
 
 // Limits of callers' connections, timing of shutdown and readiness.
 const (
-	maxHeaderBytes    = 20 * 1024        // size limit of a request's headers
-	readTimeout       = 10 * time.Second // time limit for reading a request's headers
-	idleTimeout       = 60 * time.Second // idle connections are closed after this time
-	bodyMemoryDivisor = 4                // request bodies may take 1/bodyMemoryDivisor of the configured memory
-	pruneInterval     = 2 * time.Second  // interval between removals of stale state
-	maxOwnersWait     = 4 * time.Second  // time after the start for which readiness waits for the owners of keys
+	maxHeaderBytes    = 20 * 1024           // size limit of a request's headers
+	readTimeout       = 10 * time.Second    // time limit for reading a request's headers
+	idleTimeout       = 60 * time.Second    // idle connections are closed after this time
+	statedIdleTimeout = idleTimeout * 4 / 5 // up to which callers may reuse a connection
+	bodyMemoryDivisor = 4                   // request bodies may take 1/bodyMemoryDivisor of the configured memory
+	pruneInterval     = 2 * time.Second     // interval between removals of stale state
+	maxOwnersWait     = 4 * time.Second     // time after the start for which readiness waits for the owners of keys
 )
 
 // Gateway serves callers' requests and the load balancer's readiness checks.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -72,6 +72,17 @@
 	}
 	if callerCloses || g.draining.Load() {
 		ctx.SetConnectionClose()
+		return
+	}
+	g.stateIdleTimeout(&ctx.Response.Header)
+}
+
+// stateIdleTimeout tells the caller for how long it may reuse its idle connection, if the
+// operators' limit is longer than the connection is kept open.
+func (g *Gateway) stateIdleTimeout(h *fasthttp.ResponseHeader) {
+	configuration := g.catalog.Load().Configuration
+	if configuration != nil && configuration.Limits.IdleTimeout > idleTimeout {
+		h.Set(fasthttp.HeaderKeepAlive, "timeout="+strconv.Itoa(int(statedIdleTimeout.Seconds())))
 	}
 }
 
