sendgate: a pause asked for before a process is registered counts for it

Callers and servers: a server that starts again under its id and address is reached before the store shows its new process, for seconds while the store is away. Cause: what a response says is attributed to the process that was registered when the request was sent. Change: a pause that was asked for after the start of a later process at the same place counts for that process as well. A pause of before its start does not. Evidence: TestPauseAskedForBeforeProcessIsKnownCountsForIt failed before.

--- a/internal/sendgate/sendgate.go
+++ b/internal/sendgate/sendgate.go
@@ -43,6 +43,14 @@
 	return Process{Server: s.ID, Address: s.Address, StartedMS: s.StartedMS}
 }
 
+// place is where the processes of a server follow each other.
+type place struct {
+	server  model.ServerID
+	address string
+}
+
+func (p Process) place() place { return place{server: p.Server, address: p.Address} }
+
 // Reason says why a server gets no requests.
 type Reason string
 
@@ -94,6 +102,7 @@
 
 	mu        sync.Mutex
 	processes map[Process]*statement
+	lastAt    map[place]Process // the process to which the last response from a place was attributed
 }
 
 // statement is what one process said.
@@ -101,13 +110,14 @@
 	recordedAt   time.Time // the last time
 	leavingSince time.Time // zero if the process did not say that it leaves
 	pausedUntil  time.Time
+	pausedAt     time.Time // when the pause until then was asked for
 	goneSince    time.Time // zero while the process is registered
 }
 
 // New returns a gate that lets all requests pass. No request reaches a server later than
 // drain after it said that it leaves.
 func New(drain time.Duration) *Gate {
-	return &Gate{grace: max(drain-maxTransit, 0), phase: rand.Float64(), processes: map[Process]*statement{}}
+	return &Gate{grace: max(drain-maxTransit, 0), phase: rand.Float64(), processes: map[Process]*statement{}, lastAt: map[place]Process{}}
 }
 
 // Grace returns the time for which a leaving server still gets requests that only it can
@@ -135,7 +145,7 @@
 	defer g.mu.Unlock()
 	s := g.statement(p, now)
 	if until := now.Add(pause + g.jitter(pause)); until.After(s.pausedUntil) {
-		s.pausedUntil = until
+		s.pausedUntil, s.pausedAt = until, now
 	}
 	return s.pausedUntil
 }
@@ -148,21 +158,42 @@
 	return time.Duration(g.phase * float64(span))
 }
 
-// statement returns the statement of a process, and adds an empty one if there is none.
-// The caller must hold g.mu.
+// statement returns the statement of a process, and adds one if there is none. The caller
+// must hold g.mu.
 func (g *Gate) statement(p Process, now time.Time) *statement {
 	s := g.processes[p]
 	if s == nil {
+		s = &statement{}
+		s.pausedUntil, s.pausedAt = g.earlyPause(p)
 		if len(g.processes) >= maxProcesses {
 			g.dropOldest()
 		}
-		s = &statement{}
 		g.processes[p] = s
 	}
+	g.lastAt[p.place()] = p
 	s.recordedAt = now
 	return s
 }
 
+// earlyPause returns the pause that a process asked for before its registration was known:
+// it is recorded for the earlier process at its place, and is later than its start. The
+// caller must hold g.mu.
+func (g *Gate) earlyPause(p Process) (until, at time.Time) {
+	s := g.processes[g.lastAt[p.place()]]
+	if s == nil || s.pausedAt.UnixMilli() < p.StartedMS {
+		return time.Time{}, time.Time{}
+	}
+	return s.pausedUntil, s.pausedAt
+}
+
+// forget drops the statement of a process. The caller must hold g.mu.
+func (g *Gate) forget(p Process) {
+	delete(g.processes, p)
+	if g.lastAt[p.place()] == p {
+		delete(g.lastAt, p.place())
+	}
+}
+
 // dropOldest forgets the process that said nothing for the longest time. The caller must
 // hold g.mu.
 func (g *Gate) dropOldest() {
@@ -173,7 +204,7 @@
 			oldest, at = p, s.recordedAt
 		}
 	}
-	delete(g.processes, oldest)
+	g.forget(oldest)
 }
 
 // MayChoose returns whether the process may be chosen for a request that other servers
@@ -187,17 +218,25 @@
 func (g *Gate) verdict(p Process, now time.Time, grace time.Duration) Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.processes[p]
-	switch {
-	case s == nil:
+	if len(g.processes) == 0 {
 		return Verdict{}
-	case !s.leavingSince.IsZero() && now.Sub(s.leavingSince) >= grace:
+	}
+	s := g.processes[p]
+	if s == nil {
+		until, _ := g.earlyPause(p)
+		return pauseVerdict(until, now)
+	}
+	if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) >= grace {
 		return Verdict{Reason: Leaving}
-	case now.Before(s.pausedUntil):
-		return Verdict{Reason: Paused, Until: s.pausedUntil}
-	default:
+	}
+	return pauseVerdict(s.pausedUntil, now)
+}
+
+func pauseVerdict(until, now time.Time) Verdict {
+	if !now.Before(until) {
 		return Verdict{}
 	}
+	return Verdict{Reason: Paused, Until: until}
 }
 
 // LeavingProcesses returns the processes that said that they are about to shut down.
@@ -222,15 +261,18 @@
 		server := registered[p.Server]
 		switch {
 		case s.leavingSince.IsZero() && now.After(s.pausedUntil):
-			delete(g.processes, p)
+			g.forget(p)
 		case server != nil && ProcessOf(server) == p:
 			s.goneSince = time.Time{}
 		case server != nil:
-			delete(g.processes, p)
+			if until, _ := g.earlyPause(ProcessOf(server)); now.Before(until) {
+				g.statement(ProcessOf(server), now)
+			}
+			g.forget(p)
 		case s.goneSince.IsZero():
 			s.goneSince = now
 		case now.Sub(s.goneSince) > forgetAfter:
-			delete(g.processes, p)
+			g.forget(p)
 		}
 	}
 }
