backends: the registration of a server is looked at again right before the send

Change: Held, which is asked before the send and when the connection is open, also looks at the current registration. A request that is held back waits for the new owner. Evidence: TestRequestIsHeldBackWhenItsServerIsRegisteredAsLeaving failed before (sent). daemon -run 'Drain|Leav|Gone|Keys|Owner|Grace|InProgress|Restart|Outage|Store' passes.

--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -14,8 +14,8 @@
 	"github.com/chicorylug/chicorylug/internal/sendgate"
 )
 
-// HeldError says that a request was not sent because its server said that it leaves or
-// wants no requests for a time.
+// HeldError says that a request was not sent because its server leaves, or wants no
+// requests for a time.
 type HeldError struct {
 	Server  model.ServerID
 	Verdict sendgate.Verdict
@@ -24,7 +24,7 @@
 // Error implements error.
 func (e *HeldError) Error() string {
 	if e.Verdict.Reason == sendgate.Leaving {
-		return fmt.Sprintf("server %s said that it is leaving", e.Server)
+		return fmt.Sprintf("server %s is leaving", e.Server)
 	}
 	return fmt.Sprintf("server %s had asked for a pause, until %s", e.Server, e.Verdict.Until.UTC().Format(time.RFC3339Nano))
 }
@@ -70,6 +70,9 @@
 // server may run, must not be sent to it now. It logs and counts the decision.
 func (b *Backends) Held(server *catalog.Server, request model.RequestID, now time.Time) *HeldError {
 	verdict := b.gate.MaySend(sendgate.ProcessOf(server), now)
+	if verdict.Reason == sendgate.Open && b.registeredAsLeaving(server, now) {
+		verdict = sendgate.Verdict{Reason: sendgate.Leaving}
+	}
 	if verdict.Reason == sendgate.Open {
 		return nil
 	}
@@ -79,6 +82,17 @@
 	return held
 }
 
+// registeredAsLeaving reports whether the server, which may have been chosen from an earlier
+// snapshot, has been registered as leaving for too long, or is gone.
+func (b *Backends) registeredAsLeaving(server *catalog.Server, now time.Time) bool {
+	servers := b.catalog.Load().Servers
+	current, registered := servers[server.ID]
+	if !registered {
+		return len(servers) > 0
+	}
+	return current.SameProcess(server) && current.Leaving && now.Sub(current.LeavingSince) >= b.gate.Grace()
+}
+
 // HeldService returns an error if all servers of a service are held, with the verdict of
 // the first one that takes requests again. It logs and counts the decision.
 func (b *Backends) HeldService(snapshot *catalog.Snapshot, service model.PoolName, request model.RequestID, now time.Time) *HeldError {
--- a/internal/backends/gate_test.go
+++ b/internal/backends/gate_test.go
@@ -121,3 +121,30 @@
 	must.True(t, e.state.ejectedUntil.IsZero())
 	must.Eq(t, 0, e.state.failureRate)
 }
+
+// A request for a key waited for a ticket so long that it reached its server after the time
+// for which a server that is registered as leaving may get requests.
+func TestRequestIsHeldBackWhenItsServerIsRegisteredAsLeaving(t *testing.T) {
+	h := newHerd(t)
+	b, chosen := h.daemons[0], h.servers[0]
+	send := func() Result {
+		return b.Send(context.Background(), &Attempt{ID: "waited", Server: chosen, Deadline: time.Now().Add(time.Second)})
+	}
+	leaving := *chosen
+	leaving.Leaving, leaving.LeavingSince = true, time.Now().Add(-b.LeavingGrace()-time.Millisecond)
+	b.catalog.PublishServers(map[model.ServerID]*catalog.Server{chosen.ID: &leaving})
+	result := send()
+	must.Eq(t, NotRun, result.Execution)
+	must.False(t, result.Sent)
+	var held *HeldError
+	must.True(t, errors.As(result.Err, &held))
+	must.Eq(t, sendgate.Leaving, held.Verdict.Reason)
+	leaving.LeavingSince = time.Now().Add(time.Minute)
+	must.Nil(t, b.Held(chosen, "in time", time.Now()))
+	next := leaving
+	next.StartedMS++
+	b.catalog.PublishServers(map[model.ServerID]*catalog.Server{chosen.ID: &next})
+	must.Nil(t, b.Held(chosen, "another process", time.Now()))
+	b.catalog.PublishServers(map[model.ServerID]*catalog.Server{"other": h.servers[1]})
+	must.NotNil(t, b.Held(chosen, "gone", time.Now()))
+}
