keeper: signs of a leaving server count when the rest of its answer is cut

Callers: a server that said in the head of its answer to a grant that it leaves kept its keys if the body was cut: requests for them are refused 0.5 s before the end of the drain. Cause: the client of the keeper read the headers after the whole body. Change: it reads them first, as the client for requests does. Evidence: TestSignsCountWhenTheBodyOfTheAnswerIsCut failed before.

--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -91,12 +91,12 @@
 		return nil, callResult{sent: failure.Sent, err: dialError(failure)}
 	}
 	defer exchange.Close()
+	signs := c.dialect.ReadServerResponse(response)
+	c.backends.RecordSigns(c.server, "", &signs)
 	if err := exchange.Discard(); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: true, err: err}
 	}
-	signs := c.dialect.ReadServerResponse(response)
-	c.backends.RecordSigns(c.server, "", &signs)
 	return response, callResult{sent: true, status: response.StatusCode()}
 }
 
