--- a/internal/follow/owners.go
+++ b/internal/follow/owners.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/model"
@@ -160,3 +161,26 @@
 	}
 	return o, nil
 }
+
+// applyOwners publishes the owners of a service from their record of an era. A record of
+// an earlier era than the store's is used only if none of that era or a later one is
+// known: the store came back with an older copy of it, or a keeper that has not heard of
+// the new era wrote it.
+func (f *Follower) applyOwners(era platform.Era, record platform.Record) {
+	owners, err := DecodeOwners(record)
+	if err != nil {
+		f.log.Error("owners record could not be decoded", zap.String("record", record.Name), zap.Error(err))
+		return
+	}
+	held := f.catalog.Load().Owners[owners.Service]
+	if held != nil && era < record.Era && era <= held.Era {
+		f.log.Info("owners record of an earlier era ignored", zap.String("record", record.Name),
+			zap.Uint64("revision", uint64(owners.Revision)), zap.Uint64("era", uint64(record.Era)))
+		return
+	}
+	if f.catalog.PublishOwners(owners) {
+		f.log.Info("owners updated", zap.String("service", string(owners.Service)), zap.Uint64("revision", uint64(owners.Revision)),
+			zap.Uint64("era", uint64(owners.Era)), zap.String("keeper", string(owners.Keeper)),
+			zap.Uint64("term", uint64(owners.Term)), zap.Int("ranges", len(owners.Ranges)))
+	}
+}
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -1,8 +1,10 @@
 package follow
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
@@ -90,3 +92,38 @@
 	}
 	f.catalog.PublishServers(servers)
 }
+
+// ReadRegistration returns the registration of a server from a read of the store that
+// began after the call; found is false when the server is not registered. It returns
+// an error when the store cannot be read, the registration is invalid, or it may be an
+// outdated one from an older copy of the store.
+func (f *Follower) ReadRegistration(ctx context.Context, id model.ServerID) (server *catalog.Server, found bool, err error) {
+	if err := f.readServersAfter(ctx, time.Now()); err != nil {
+		return nil, false, err
+	}
+	if settleAt := f.registrationsSettleAt.Load(); settleAt != nil && time.Now().Before(*settleAt) {
+		return nil, false, errors.Errorf("registration of server %s may be outdated for %s more", id, time.Until(*settleAt))
+	}
+	record, found := f.replicas[platform.Servers].get(string(id))
+	if !found {
+		return nil, false, nil
+	}
+	server, err = f.dialect.DecodeServer(record, time.Now())
+	return server, err == nil, err
+}
+
+// readServersAfter reads all servers unless a read that began after the given time has
+// succeeded, so that concurrent callers share one read.
+func (f *Follower) readServersAfter(ctx context.Context, after time.Time) error {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	if f.serversReadAt.After(after) {
+		return nil
+	}
+	began := time.Now()
+	if err := f.readCollection(ctx, platform.Servers); err != nil {
+		return errors.Wrap(err, "read server registrations from the store")
+	}
+	f.serversReadAt = began
+	return nil
+}
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -7,11 +7,7 @@
 package fenced
 
 import (
-	"encoding/json"
-	"fmt"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -63,41 +59,6 @@
 	Pause    time.Duration // Retry-After of the answer; zero if it has none
 }
 
-// Faults are the failures that a test can inject. The zero value is a healthy server.
-type Faults struct {
-	// ResetAfterRun resets the connection instead of answering a request that has run.
-	ResetAfterRun bool
-	// ShedAll rejects every request as shed and not run.
-	ShedAll bool
-	// SayLeaving says in each response that the server is about to shut down.
-	SayLeaving bool
-	// Pause, if not empty, rejects every request with this Retry-After value.
-	Pause string
-	// PauseAfterRun, if not empty, answers each request with status 503 and this Retry-After
-	// value after it has run.
-	PauseAfterRun string
-	// WrongAttemptID sends the attempt id of another request in each response.
-	WrongAttemptID bool
-	// Unframed sends responses without a length, whose end is the end of the connection.
-	Unframed bool
-	// Unresponsive blocks every request, while connections stay open, until it is cleared.
-	Unresponsive bool
-	// ExtraServiceTime is added to the service time of each run.
-	ExtraServiceTime time.Duration
-	// CrashOnPath crashes the server when a request's path contains it.
-	CrashOnPath string
-	// DropGrantResponses is the number of further grants that take effect without an answer.
-	DropGrantResponses int
-	// FailAll answers each request with status 500 after it has run.
-	FailAll bool
-	// HangWhenFull never answers a request that finds all slots taken, nor any later one
-	// on its connection, instead of shedding it.
-	HangWhenFull bool
-	// Flood, if set, answers each request with bytes without end of that kind, until the
-	// daemon closes the connection.
-	Flood FloodKind
-}
-
 // Server is one process of a simulated backend server, from its start to its end. A
 // restart is a new Server.
 type Server struct {
@@ -150,58 +111,12 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-func (s *Server) register(state string) {
-	s.sequence++
-	s.state = state
-	body, err := json.Marshal(map[string]any{
-		"Service": s.options.Service, "Address": s.Address(), "Zone": s.options.Zone, "Version": "v1",
-		"Capacity": s.options.Slots, "State": state, "WarmupLeftS": 0, "Sequence": s.sequence, "born": s.startedMS,
-	})
-	if err != nil {
-		panic(err) // strings and numbers always encode
-	}
-	s.options.Store.PutRow("servers", s.options.ID, body)
-}
-
 // Address returns ip:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // ID returns the server's id.
 func (s *Server) ID() string { return s.options.ID }
 
-// SetFaults replaces the faults.
-func (s *Server) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-// Register registers the server again as ready, as a server's periodic report does.
-func (s *Server) Register() { s.register("ready") }
-
-// Drain registers the server as draining.
-func (s *Server) Drain() { s.register("draining") }
-
-// Unregister removes the registration, as the store does when the registration's lease expires.
-func (s *Server) Unregister() {
-	s.state = ""
-	s.options.Store.DeleteRow("servers", s.options.ID)
-}
-
-// RegisterAgain writes the registration again in its last state, as a server does after the
-// store has returned from an older copy. A registration that was removed is removed again,
-// and so is that of a crashed server, whose lease runs out.
-func (s *Server) RegisterAgain() {
-	s.mu.Lock()
-	stopped := s.stopped
-	s.mu.Unlock()
-	if stopped || s.state == "" {
-		s.Unregister()
-		return
-	}
-	s.register(s.state)
-}
-
 // StopListening accepts no new connections and closes the idle ones, as a server does
 // at the end of its drain. Running requests continue.
 func (s *Server) StopListening() {
@@ -285,150 +200,3 @@
 func (s *Server) ownsAt(key int, now time.Time) bool {
 	return !s.stopped && s.grants[key].fence > 0 && now.Before(s.grants[key].validUntil)
 }
-
-// waitWhileUnresponsive blocks while the fault Unresponsive is set, unless the server crashes.
-func (s *Server) waitWhileUnresponsive() {
-	for s.isUnresponsive() {
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
-func (s *Server) isUnresponsive() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults.Unresponsive && !s.stopped
-}
-
-func (s *Server) saysLeaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults.SayLeaving
-}
-
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	arrived := time.Now()
-	s.waitWhileUnresponsive()
-	h := &ctx.Request.Header
-	if s.saysLeaving() {
-		ctx.Response.Header.Set(headerLeaving, "1")
-	}
-	ctx.Response.Header.Set(headerInstance, s.options.ID)
-	if expected := string(h.Peek(headerExpectedInstance)); expected != "" && expected != s.options.ID {
-		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
-		return
-	}
-	switch string(ctx.Path()) {
-	case pathGrant:
-		s.handleGrant(ctx, arrived)
-	case pathRelease:
-		s.handleRelease(ctx)
-	case pathHealth:
-	default:
-		s.handleRequest(ctx)
-		s.reportArrival(ctx, arrived)
-	}
-}
-
-// reportArrival reports a request that was handled.
-func (s *Server) reportArrival(ctx *fasthttp.RequestCtx, arrived time.Time) {
-	if s.options.Reached == nil {
-		return
-	}
-	a := Arrival{ID: string(ctx.Request.Header.Peek(headerAttemptID)), Arrived: arrived, Answered: time.Now()}
-	if !ctx.Hijacked() {
-		h := &ctx.Response.Header
-		a.Status, a.Leaving = h.StatusCode(), len(h.Peek(headerLeaving)) > 0
-		seconds, _ := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64) // zero if there is none
-		a.Pause = time.Duration(seconds * float64(time.Second))
-	}
-	s.options.Reached(a)
-}
-
-// refuse answers that the request was not run.
-func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int) {
-	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set(headerNotRun, "1")
-}
-
-func (s *Server) handleRequest(ctx *fasthttp.RequestCtx) {
-	id := string(ctx.Request.Header.Peek(headerAttemptID))
-	key := -1
-	if number, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerKey))); err == nil {
-		key = number
-	}
-	s.mu.Lock()
-	s.arrivals++
-	f := s.faults
-	if f.Pause != "" {
-		s.mu.Unlock()
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, f.Pause)
-		s.refuse(ctx, fasthttp.StatusServiceUnavailable)
-		return
-	}
-	if s.options.Keyed && (key < 0 || !s.ownsAt(key, time.Now())) {
-		s.mu.Unlock()
-		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
-		return
-	}
-	full := s.running >= s.options.Slots
-	if full && f.HangWhenFull {
-		s.mu.Unlock()
-		hang(ctx)
-		return
-	}
-	if f.ShedAll || full {
-		s.mu.Unlock()
-		s.refuse(ctx, fasthttp.StatusServiceUnavailable)
-		return
-	}
-	s.running++
-	s.runningByKey[key]++
-	s.runs[id]++
-	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerDeadline))); err == nil {
-		s.deadlines = append(s.deadlines, time.Duration(ms)*time.Millisecond)
-	}
-	load := fmt.Sprintf("%d,0,%d", s.running, s.options.Slots)
-	s.mu.Unlock()
-	if f.CrashOnPath != "" && strings.Contains(string(ctx.Path()), f.CrashOnPath) {
-		s.Crash()
-		return
-	}
-	s.options.Ledger.runStarted(s, key)
-	time.Sleep(s.options.ServiceTime + f.ExtraServiceTime)
-	s.options.Ledger.runEnded(s, key)
-	s.mu.Lock()
-	s.running--
-	s.runningByKey[key]--
-	s.mu.Unlock()
-	s.respond(ctx, f, id, load)
-}
-
-func (s *Server) respond(ctx *fasthttp.RequestCtx, f Faults, id, load string) {
-	body := fmt.Sprintf("%s %s %s %d", s.options.ID, ctx.Method(), ctx.RequestURI(), len(ctx.PostBody()))
-	switch {
-	case f.Flood != NoFlood:
-		flood(ctx, f.Flood, id)
-		return
-	case f.ResetAfterRun:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(conn net.Conn) { resetConn(conn) })
-		return
-	case f.Unframed:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(conn net.Conn) {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n\r\n%s", headerAttemptID, id, headerSignature, body)
-		})
-		return
-	case f.WrongAttemptID:
-		id = "another"
-	case f.PauseAfterRun != "":
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, f.PauseAfterRun)
-	case f.FailAll:
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-	}
-	ctx.Response.Header.Set(headerAttemptID, id)
-	ctx.Response.Header.Set(headerSignature, "signed."+s.options.ID)
-	ctx.Response.Header.Set(headerLoad, load)
-	ctx.SetBodyString(body)
-}
