follow: changes reach the catalog in the order of the copy

Callers: of two updates of the registrations at a time, the earlier could reach the catalog last: a server that had said that it leaves, or had ended, got requests until its next report changed something (DRAIN). Cause: the copy is changed under its lock, the changes are queued for the control goroutine after it; polls, reads for the keeper and polls of peers run in several goroutines. Configurations and owners have versions of their own, registrations and daemons have not. Change: one lock over both steps.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,9 @@
 	storeCalls  *metrics.Counter
 	log         *zap.Logger
 
+	// applyMu is held while an update is applied to a copy and its changes are queued for
+	// the control goroutine, so that they reach the catalog in the order of the copy.
+	applyMu  sync.Mutex
 	replicas map[platform.Collection]*replica
 	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
@@ -133,11 +136,6 @@
 	return nil
 }
 
-// ApplyWrite updates the copy with a record that this daemon wrote to the store itself.
-func (f *Follower) ApplyWrite(c platform.Collection, r platform.Record) {
-	f.publish(c, f.replicas[c].applyWrite(r))
-}
-
 // SharedRecord returns a record of platform.Shared from the copy, or false when there is none.
 func (f *Follower) SharedRecord(name string) (platform.Record, bool) {
 	return f.replicas[platform.Shared].get(name)
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -11,6 +11,8 @@
 
 // applyUpdate applies an update to the copy of a collection and publishes the changes.
 func (f *Follower) applyUpdate(c platform.Collection, u update) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	if c == platform.Servers && u.Era > max(f.replicas[c].completeUpTo().Era, platform.FirstEra) {
 		f.doubtRegistrations()
 	}
@@ -21,8 +23,15 @@
 	f.publish(c, result.changes)
 }
 
+// ApplyWrite updates the copy with a record that this daemon wrote to the store itself.
+func (f *Follower) ApplyWrite(c platform.Collection, r platform.Record) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	f.publish(c, f.replicas[c].applyWrite(r))
+}
+
 // publish passes changed records on to the catalog, on the control goroutine, and
-// answers the daemons that are waiting for changes.
+// answers the daemons that are waiting for changes. The caller holds f.applyMu.
 func (f *Follower) publish(c platform.Collection, changed []change) {
 	if len(changed) == 0 {
 		return
