rpc: calls to an unreachable peer end at their deadlines

Callers: when a dispatcher's machine is gone without a reset (power, cut link), each request that asked it for a ticket dialed for itself, 0.3 s, while the others waited for the lock: 16 calls with 0.15 s each took up to 4.8 s. Their callers got no answer by their deadlines nor by the route's timeout; polls and status queries waited in the same line. Cause: connect dials while it holds the peer's lock, whatever the call's context says. Change: calls that need a connection share one dial and its outcome, and each waits for it until its own context ends.

--- a/internal/rpc/peerconn.go
+++ b/internal/rpc/peerconn.go
@@ -4,15 +4,21 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/creachadair/jrpc2"
 )
 
 // blockedWriteTime is the time after which a write counts as blocked.
 const blockedWriteTime = 20 * time.Millisecond
 
-// peerConn is the connection to a peer. It records whether the peer answers and takes
-// requests. One write is in progress at a time.
+// peerConn is a connection to a peer, with its client. It records whether the peer answers
+// and takes requests. One write is in progress at a time.
 type peerConn struct {
 	net.Conn
+	client *jrpc2.Client
+	// stopped reports that the client has stopped. The client's own IsStopped would
+	// block while a write is in progress, and so on a peer that does not read.
+	stopped  atomic.Bool
 	lastRead atomic.Int64 // Unix nanoseconds at which bytes were last received
 	writes   atomic.Int64 // begun and ended writes, so odd during one
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/creachadair/jrpc2"
@@ -114,16 +113,6 @@
 	peers map[string]*peer
 }
 
-// peer is the connection to one address; its lock serializes dialing.
-type peer struct {
-	mu     sync.Mutex
-	client *jrpc2.Client
-	conn   *peerConn
-	// stopped reports that the client has stopped. The client's own IsStopped would
-	// block while a write is in progress, and so on a peer that does not read.
-	stopped *atomic.Bool
-}
-
 // NewClient returns a client that dials through network.
 func NewClient(network *netx.Network, registry *metrics.Registry) *Client {
 	return &Client{network: network, meter: newMeter(registry), peers: map[string]*peer{}}
@@ -153,15 +142,15 @@
 		defer cancel()
 	}
 	p := c.peer(address)
-	client, conn, err := p.connect(c, address)
+	conn, err := p.connect(ctx, c, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s: dial %s", method, address)
 	}
 	began := time.Now()
-	stop := context.AfterFunc(ctx, func() { p.dropBroken(client, conn, began, ctx.Err()) })
+	stop := context.AfterFunc(ctx, func() { p.dropBroken(conn, began, ctx.Err()) })
 	defer stop()
 	resp := new(Resp)
-	err = client.CallResult(ctx, string(method), req, resp)
+	err = conn.client.CallResult(ctx, string(method), req, resp)
 	if err == nil {
 		return resp, nil
 	}
@@ -170,7 +159,7 @@
 		return nil, &RemoteError{Peer: address, Method: method, Message: remote.Message}
 	}
 	if ctx.Err() == nil {
-		p.drop(client)
+		p.drop(conn)
 	}
 	return nil, errors.Wrapf(err, "%s: call %s", method, address)
 }
@@ -186,50 +175,6 @@
 	return p
 }
 
-// connect returns the current connection and its client, or dials a new one if there
-// is none or the client has stopped.
-func (p *peer) connect(c *Client, address string) (*jrpc2.Client, *peerConn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.client != nil && !p.stopped.Load() {
-		return p.client, p.conn, nil
-	}
-	raw, err := c.network.Dial(address)
-	if err != nil {
-		return nil, nil, err
-	}
-	p.conn = &peerConn{Conn: &meteredConn{Conn: raw, meter: c.meter}}
-	stopped := &atomic.Bool{}
-	p.stopped = stopped
-	p.client = jrpc2.NewClient(channel.Line(p.conn, p.conn), &jrpc2.ClientOptions{
-		OnCancel: sendCancel,
-		OnStop:   func(*jrpc2.Client, error) { stopped.Store(true) },
-	})
-	return p.client, p.conn, nil
-}
-
-// dropBroken closes the connection of a call that began at a time and whose context has
-// ended with err, if the connection does not work: a write blocks, which nothing else ends,
-// or the peer has sent nothing in the whole time that the call had.
-func (p *peer) dropBroken(client *jrpc2.Client, conn *peerConn, began time.Time, err error) {
-	outOfTime := errors.Is(err, context.DeadlineExceeded)
-	if (outOfTime && conn.silentSince(began)) || conn.writeBlocks() {
-		p.drop(client)
-	}
-}
-
-// drop closes the connection of a client after a failed call, unless the connection
-// was already replaced.
-func (p *peer) drop(client *jrpc2.Client) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.client != client {
-		return
-	}
-	_ = p.conn.Close()
-	p.client = nil
-}
-
 // ClosePeer closes the connection to an address that is no longer in use.
 func (c *Client) ClosePeer(address string) {
 	c.mu.Lock()
@@ -251,12 +196,3 @@
 		p.close()
 	}
 }
-
-func (p *peer) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil {
-		_ = p.conn.Close()
-	}
-	p.client = nil
-}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -203,3 +203,30 @@
 		})
 	}
 }
+
+// Requests that asked a dispatcher whose machine had gone waited for one dial after another,
+// far beyond their deadlines: each call dialed for itself while the others waited.
+func TestCallsToUnreachablePeerEndAtTheirDeadlines(t *testing.T) {
+	const calls, timeout, slack = 16, 150 * time.Millisecond, 150 * time.Millisecond
+	address, _ := startServer(t)
+	network := &netx.Network{}
+	network.SetFaults(netx.Faults{Blocked: []string{address}})
+	c := newClient(t, network)
+	took := make(chan time.Duration, calls)
+	for range calls {
+		go func() {
+			began := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			_, err := rpc.Call[nextResponse](ctx, c, address, methodNext, &nextRequest{Term: 1})
+			must.Error(t, err)
+			took <- time.Since(began)
+		}()
+	}
+	for range calls {
+		must.Less(t, timeout+slack, <-took)
+	}
+	network.SetFaults(netx.Faults{})
+	_, err := rpc.Call[nextResponse](context.Background(), c, address, methodNext, &nextRequest{Term: 1})
+	must.NoError(t, err)
+}
