gateway: a request whose body does not arrive is refused at its deadline

Callers: the refusal came a second after the route's timeout. Cause: the rest of a refused request's body is read for up to 1 s before the answer, so that closing the connection does not reset it; also if the deadline is why it is refused. Change: after the deadline it is read for 50 ms.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -24,7 +24,8 @@
 const (
 	defaultCallerTimeout = 30 * time.Second      // for callers that do not state a timeout
 	callerTransitTime    = 10 * time.Millisecond // reserved for the transfer of the response to the caller
-	discardTimeout       = time.Second           // time limit for reading the rest of a refused request's body
+	discardTimeout       = time.Second           // time limit for reading the rest of a refused request's body,
+	lateDiscardTimeout   = 50 * time.Millisecond // and after the deadline for the response
 	maxDiscardBytes      = 4 << 20               // size limit for the same
 )
 
@@ -306,12 +307,29 @@
 	if stream == nil {
 		return
 	}
-	_ = c.ctx.SetReadDeadline(time.Now().Add(discardTimeout))
+	_ = c.ctx.SetReadDeadline(c.discardUntil(time.Now()))
 	if _, err := io.CopyN(io.Discard, stream, maxDiscardBytes); !errors.Is(err, io.EOF) {
 		c.ctx.SetConnectionClose()
 	}
 }
 
+// discardUntil returns the time until which the rest of the body is read. No deadline is
+// known for a request without a route.
+func (c *call) discardUntil(now time.Time) time.Time {
+	longest := now.Add(discardTimeout)
+	if c.deadline.IsZero() || c.deadline.After(longest) {
+		return longest
+	}
+	return later(c.deadline, now.Add(lateDiscardTimeout))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // handleReadError is the fasthttp handler for requests that could not be read.
 func (g *Gateway) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
