--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -130,7 +130,7 @@
 		changed := c.gateway.catalog.Changed()
 		now := time.Now()
 		if server := c.owner(now); server != nil {
-			return server, c.pausedRefusal(server, now)
+			return server, c.ownerRefusal(server, now)
 		}
 		if cause := context.Cause(c.context); cause != nil {
 			return nil, c.contextRefusal(cause)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -320,14 +320,7 @@
 	if c.deadline.IsZero() || c.deadline.After(longest) {
 		return longest
 	}
-	return later(c.deadline, now.Add(lateDiscardTimeout))
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
+	return now.Add(max(c.deadline.Sub(now), lateDiscardTimeout))
 }
 
 // handleReadError is the fasthttp handler for requests that could not be read.
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -22,9 +22,9 @@
 	return refusal
 }
 
-// pausedRefusal returns the refusal for a request that only the given server may run, or
-// nil unless the server asked for a pause.
-func (c *call) pausedRefusal(owner *catalog.Server, now time.Time) *reason.Error {
+// ownerRefusal returns the refusal for a request that only the given server may run, or
+// nil unless the server asked for a pause or is leaving.
+func (c *call) ownerRefusal(owner *catalog.Server, now time.Time) *reason.Error {
 	held := c.gateway.backends.Held(owner, c.headers.ID, now)
 	if held == nil {
 		return nil
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -49,7 +49,7 @@
 		ref := model.ServerRef{Pool: server.Service, Server: server.ID}
 		crashID := c.gateway.poison.Report(ref, server.StartedMS, []poison.Fingerprint{fingerprint}, detectedAt)
 		c.gateway.log.Warn("server process ended while running a request", zap.String("request", string(c.headers.ID)),
-			zap.String("server", string(server.ID)), zap.String("death", string(crashID)), zap.Uint64("fingerprint", uint64(fingerprint)))
+			zap.String("server", string(server.ID)), zap.String("crash", string(crashID)), zap.Uint64("fingerprint", uint64(fingerprint)))
 	}()
 }
 
