--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +39,9 @@
 	storeCalls  *metrics.Counter
 	log         *zap.Logger
 
+	// applyMu is held while an update is applied to a copy and its changes are queued for
+	// the control goroutine, so that they reach the catalog in the order of the copy.
+	applyMu  sync.Mutex
 	replicas map[platform.Collection]*replica
 	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
@@ -136,45 +138,6 @@
 	return nil
 }
 
-// StoreAge returns the time since the store last answered this daemon, 24 h before the first answer.
-func (f *Follower) StoreAge() time.Duration { return age(&f.storeAnsweredAt) }
-
-// SharedAge returns the time since the store last answered this daemon about platform.Shared,
-// 24 h before the first answer.
-func (f *Follower) SharedAge() time.Duration { return age(&f.sharedAnsweredAt) }
-
-// CopyAge returns the age of the copies: the time since the store last answered this
-// daemon or one that it polls, 24 h before the first answer.
-func (f *Follower) CopyAge() time.Duration { return age(&f.currentAsOf) }
-
-// unknownAge is the age reported before the first answer.
-const unknownAge = 24 * time.Hour
-
-func age(at *atomic.Pointer[time.Time]) time.Duration {
-	if t := at.Load(); t != nil {
-		return time.Since(*t)
-	}
-	return unknownAge
-}
-
-// StoreReachable reports whether the store answers this daemon: its last answer is
-// younger than maxStoreAge, and the last poll of each collection succeeded.
-func (f *Follower) StoreReachable() bool {
-	return f.StoreAge() < maxStoreAge && f.failingCollections.Load() == 0
-}
-
-// Changed returns a channel that is closed at the next change of any copy.
-func (f *Follower) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
-
-// ApplyWrite updates the copy with a record that this daemon wrote to the store itself.
-func (f *Follower) ApplyWrite(c platform.Collection, r platform.Record) {
-	f.publish(c, f.replicas[c].applyWrite(r))
-}
-
 // SharedRecord returns a record of platform.Shared from the copy, or false when there is none.
 func (f *Follower) SharedRecord(name string) (platform.Record, bool) {
 	return f.replicas[platform.Shared].get(name)
@@ -187,151 +150,3 @@
 		f.log.Warn("shared records could not be read from the store", zap.String("peer", "store"), zap.Error(err))
 	}
 }
-
-// ReadRegistration returns the registration of a server from a read of the store that
-// began after the call; found is false when the server is not registered. It returns
-// an error when the store cannot be read, the registration is invalid, or it may be an
-// outdated one from an older copy of the store.
-func (f *Follower) ReadRegistration(ctx context.Context, id model.ServerID) (server *catalog.Server, found bool, err error) {
-	if err := f.readServersAfter(ctx, time.Now()); err != nil {
-		return nil, false, err
-	}
-	if settleAt := f.registrationsSettleAt.Load(); settleAt != nil && time.Now().Before(*settleAt) {
-		return nil, false, errors.Errorf("registration of server %s may be outdated for %s more", id, time.Until(*settleAt))
-	}
-	record, found := f.replicas[platform.Servers].get(string(id))
-	if !found {
-		return nil, false, nil
-	}
-	server, err = f.dialect.DecodeServer(record, time.Now())
-	return server, err == nil, err
-}
-
-// readServersAfter reads all servers unless a read that began after the given time has
-// succeeded, so that concurrent callers share one read.
-func (f *Follower) readServersAfter(ctx context.Context, after time.Time) error {
-	f.serversMu.Lock()
-	defer f.serversMu.Unlock()
-	if f.serversReadAt.After(after) {
-		return nil
-	}
-	began := time.Now()
-	if err := f.readCollection(ctx, platform.Servers); err != nil {
-		return errors.Wrap(err, "read server registrations from the store")
-	}
-	f.serversReadAt = began
-	return nil
-}
-
-// StoreEra returns the newest era of the store that this daemon has heard of, 0 before the
-// first answer.
-func (f *Follower) StoreEra() platform.Era {
-	newest := platform.Era(0)
-	for _, r := range f.replicas {
-		newest = max(newest, r.completeUpTo().Era)
-	}
-	return newest
-}
-
-// FollowedSince returns the era in which this process first had a copy of platform.Shared, 0
-// before. What the store lost when that era began, it does not know.
-func (f *Follower) FollowedSince() platform.Era {
-	return f.replicas[platform.Shared].followedSince()
-}
-
-// applyUpdate applies an update to the copy of a collection and publishes the changes.
-func (f *Follower) applyUpdate(c platform.Collection, u update) {
-	if c == platform.Servers && u.Era > max(f.replicas[c].completeUpTo().Era, platform.FirstEra) {
-		f.doubtRegistrations()
-	}
-	result := f.replicas[c].apply(u)
-	if result.newEra {
-		f.beginEra(c, result.previous, u.Position)
-	}
-	f.publish(c, result.changes)
-}
-
-// publish passes changed records on to the catalog, on the control goroutine, and
-// answers the daemons that are waiting for changes.
-func (f *Follower) publish(c platform.Collection, changed []change) {
-	if len(changed) == 0 {
-		return
-	}
-	f.loop.Post(func() { f.updateCatalog(c, changed) })
-	f.notifyChanged()
-}
-
-// notifyChanged closes the current channel of Changed and replaces it. Pending polls then
-// check again for changes and for the loss of the store.
-func (f *Follower) notifyChanged() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-// updateCatalog decodes changed records and publishes them. It runs on the control goroutine.
-func (f *Follower) updateCatalog(c platform.Collection, changed []change) {
-	switch c {
-	case platform.Configurations:
-		for _, record := range changed {
-			f.applyConfiguration(record.Record)
-		}
-	case platform.Servers:
-		for _, record := range changed {
-			f.applyServer(record)
-		}
-		f.publishServers()
-	case platform.Shared:
-		for _, record := range changed {
-			f.applyShared(record)
-		}
-	}
-}
-
-func (f *Follower) applyConfiguration(record platform.Record) {
-	if !f.dialect.IsConfiguration(record.Name) || record.Deleted {
-		return
-	}
-	configuration, err := f.dialect.DecodeConfiguration(record)
-	if err != nil {
-		f.log.Error("invalid configuration ignored, the last valid one stays in force", zap.Uint64("revision", uint64(record.Revision)), zap.Error(err))
-		return
-	}
-	if f.catalog.PublishConfiguration(configuration) {
-		f.log.Info("configuration in force", zap.Uint64("version", configuration.Version), zap.Uint64("revision", uint64(record.Revision)))
-	}
-}
-
-func (f *Follower) applyShared(changed change) {
-	if name, ok := strings.CutPrefix(changed.Name, platform.DaemonPrefix); ok {
-		f.applyDaemon(model.DaemonID(name), changed)
-		return
-	}
-	if era, ok := parseOwnersRecordName(changed.Name); ok && !changed.Deleted {
-		f.applyOwners(era, changed.Record)
-	}
-}
-
-// applyOwners publishes the owners of a service from their record of an era. A record of
-// an earlier era than the store's is used only if none of that era or a later one is
-// known: the store came back with an older copy of it, or a keeper that has not heard of
-// the new era wrote it.
-func (f *Follower) applyOwners(era platform.Era, record platform.Record) {
-	owners, err := DecodeOwners(record)
-	if err != nil {
-		f.log.Error("owners record could not be decoded", zap.String("record", record.Name), zap.Error(err))
-		return
-	}
-	held := f.catalog.Load().Owners[owners.Service]
-	if held != nil && era < record.Era && era <= held.Era {
-		f.log.Info("owners record of an earlier era ignored", zap.String("record", record.Name),
-			zap.Uint64("revision", uint64(owners.Revision)), zap.Uint64("era", uint64(record.Era)))
-		return
-	}
-	if f.catalog.PublishOwners(owners) {
-		f.log.Info("owners updated", zap.String("service", string(owners.Service)), zap.Uint64("revision", uint64(owners.Revision)),
-			zap.Uint64("era", uint64(owners.Era)), zap.String("keeper", string(owners.Keeper)),
-			zap.Uint64("term", uint64(owners.Term)), zap.Int("ranges", len(owners.Ranges)))
-	}
-}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -24,7 +24,8 @@
 const (
 	defaultCallerTimeout = 30 * time.Second      // for callers that do not state a timeout
 	callerTransitTime    = 10 * time.Millisecond // reserved for the transfer of the response to the caller
-	discardTimeout       = time.Second           // time limit for reading the rest of a refused request's body
+	discardTimeout       = time.Second           // time limit for reading the rest of a refused request's body,
+	lateDiscardTimeout   = 50 * time.Millisecond // and after the deadline for the response
 	maxDiscardBytes      = 4 << 20               // size limit for the same
 )
 
@@ -72,6 +73,17 @@
 	}
 	if callerCloses || g.draining.Load() {
 		ctx.SetConnectionClose()
+		return
+	}
+	g.stateIdleTimeout(&ctx.Response.Header)
+}
+
+// stateIdleTimeout tells the caller for how long it may reuse its idle connection, if the
+// operators' limit is longer than the connection is kept open.
+func (g *Gateway) stateIdleTimeout(h *fasthttp.ResponseHeader) {
+	configuration := g.catalog.Load().Configuration
+	if configuration != nil && configuration.Limits.IdleTimeout > idleTimeout {
+		h.Set(fasthttp.HeaderKeepAlive, "timeout="+strconv.Itoa(int(statedIdleTimeout.Seconds())))
 	}
 }
 
@@ -295,12 +307,22 @@
 	if stream == nil {
 		return
 	}
-	_ = c.ctx.SetReadDeadline(time.Now().Add(discardTimeout))
+	_ = c.ctx.SetReadDeadline(c.discardUntil(time.Now()))
 	if _, err := io.CopyN(io.Discard, stream, maxDiscardBytes); !errors.Is(err, io.EOF) {
 		c.ctx.SetConnectionClose()
 	}
 }
 
+// discardUntil returns the time until which the rest of the body is read. No deadline is
+// known for a request without a route.
+func (c *call) discardUntil(now time.Time) time.Time {
+	longest := now.Add(discardTimeout)
+	if c.deadline.IsZero() || c.deadline.After(longest) {
+		return longest
+	}
+	return now.Add(max(c.deadline.Sub(now), lateDiscardTimeout))
+}
+
 // handleReadError is the fasthttp handler for requests that could not be read.
 func (g *Gateway) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
