keeper: the ownership model plays more returns, losses and cuts

The model had: returns at any time with copies of 0 to 20 s, the keeper, two or all daemons killed, lapsed registrations, reused addresses, lost answers, a daemon cut off. Added: returns while the keeper, two or all daemons are down, two returns in a row, all registrations lapsed, shared records cut off from one daemon, one server cut off from the keeper, and one-sided cuts between the keeper and the other daemons. Events that concern daemons are in a file of their own.

--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -46,7 +46,10 @@
 	"lose grants", "late grants", "late releases",
 	"lingering grants", "keeper killed", "keeper paused", "keeper isolated", "keeper cut off from all servers",
 	"store restored", "store restored", "store restored", "store answers no longer reach one daemon",
-	"store restored and keeper killed", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
+	"store restored and keeper killed", "store restored while the keeper is down", "store restored while two daemons are down",
+	"store restored while all daemons are down", "store restored twice", "all registrations lapse",
+	"shared records cut off from one daemon", "one server cut off from the keeper", "no daemon reaches the keeper",
+	"keeper reaches no daemon", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
 }
 
 // histories generates histories of a service with the given number of servers.
@@ -157,48 +160,14 @@
 		h.startServer(e.index, id, id)
 	case "keeper killed":
 		h.restartDaemon(h.keeperIndex())
-	case "keeper paused":
-		d := h.daemons[h.keeperIndex()]
-		d.mu.Lock()
-		d.pausedUntil = time.Now().Add(e.duration)
-		d.mu.Unlock()
-	case "keeper isolated":
-		d := h.daemons[h.keeperIndex()]
-		d.mu.Lock()
-		d.storeCutUntil = time.Now().Add(2 * e.duration)
-		d.isolatedUntil = d.storeCutUntil
-		d.mu.Unlock()
-	case "keeper cut off from all servers":
-		d := h.daemons[h.keeperIndex()]
-		d.mu.Lock()
-		d.serversCutUntil = time.Now().Add(e.duration)
-		d.mu.Unlock()
-	case "store cut off from one daemon":
-		d := h.daemons[e.index%len(h.daemons)]
-		d.mu.Lock()
-		d.storeCutUntil = time.Now().Add(2 * e.duration)
-		d.mu.Unlock()
-	case "store restored":
-		h.comeBack(e)
-	case "store restored and keeper killed":
-		index := h.keeperIndex()
-		h.comeBack(e)
-		h.restartDaemons(e.duration/8, index)
-	case "two daemons killed":
-		h.restartDaemons(e.duration, e.index%modelDaemons, (e.index+1)%modelDaemons)
-	case "all daemons killed":
-		h.restartDaemons(e.duration, 0, 1, 2)
-	case "store answers no longer reach one daemon":
-		d := h.daemons[e.index%len(h.daemons)]
-		d.mu.Lock()
-		d.deafUntil = time.Now().Add(2 * e.duration)
-		d.mu.Unlock()
 	case "work":
 		h.startWork(e.key, e.duration)
 	case "hot key":
 		h.report(&backends.KeyedStats{Keys: map[int]int{e.key: 400, (e.key * 7) % catalog.LastKey: 100}})
 	default:
 		h.injectFault(e)
+		h.injectCut(e)
+		h.injectRestore(e)
 	}
 }
 
@@ -214,6 +183,11 @@
 		p := h.servers[e.index]
 		h.deregister(p.registered)
 		time.AfterFunc(2*e.duration, func() { h.reregister(p) })
+	case "all registrations lapse":
+		for _, p := range h.servers {
+			h.deregister(p.registered)
+			time.AfterFunc(e.duration/2, func() { h.reregister(p) })
+		}
 	case "store down":
 		h.storeDownUntil = time.Now().Add(e.duration)
 	case "lose writes":
@@ -253,42 +227,6 @@
 	}
 }
 
-// restartDaemon kills a daemon's process and starts a new one under the same name.
-func (h *history) restartDaemon(index int) {
-	h.killDaemon(index)
-	h.startDaemon(index)
-}
-
-// killDaemon kills a daemon's process.
-func (h *history) killDaemon(index int) {
-	d := h.daemons[index]
-	d.mu.Lock()
-	d.killed = true
-	d.mu.Unlock()
-	d.stop()
-}
-
-// restartDaemons kills daemons together and starts them again after a time.
-func (h *history) restartDaemons(after time.Duration, indexes ...int) {
-	for _, index := range indexes {
-		h.killDaemon(index)
-	}
-	time.Sleep(after)
-	for _, index := range indexes {
-		h.startDaemon(index)
-	}
-}
-
-// comeBack has the store go down and come back from an older copy.
-func (h *history) comeBack(e event) {
-	down := e.duration / 4
-	h.mu.Lock()
-	h.storeDownUntil = time.Now().Add(down)
-	h.mu.Unlock()
-	time.Sleep(down)
-	h.restore(e.age, e.duration/2)
-}
-
 // unownedKey returns a key that no running server holds. It samples every 499th key.
 func (h *history) unownedKey() (int, bool) {
 	h.mu.Lock()
@@ -328,6 +266,7 @@
 	h.mu.Lock()
 	h.storeDownUntil, h.loseWrites, h.lateWrites, h.loseGrants, h.lateGrants, h.lateReleases, h.lingeringGrants = time.Time{}, 0, 0, 0, 0, 0, 0
 	h.mu.Unlock()
+	h.healCuts()
 	time.Sleep(modelRecoveryTime)
 	if key, missing := h.unownedKey(); missing {
 		h.reportViolation("key %d has no owner at the end", key)
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -468,6 +468,7 @@
 	deafUntil     time.Time // the store does what this daemon asks, but its answers are lost
 	registrations registrations
 	isolatedUntil time.Time // the other daemons can't reach it
+	callsCutUntil time.Time // it can't reach the other daemons
 	// sharedCutUntil is the time until which its reads of the records fail.
 	sharedCutUntil time.Time
 	// serversCutUntil is the time until which it reaches no server, and serverCutUntil that
@@ -781,6 +782,13 @@
 		return nil, err
 	}
 	time.Sleep(modelMessageDelay)
+	d.mu.Lock()
+	cut := time.Now().Before(d.callsCutUntil)
+	d.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	d.sim.mu.Lock()
 	var target *simDaemon
 	for _, k := range d.sim.daemons {
