follow: calls to a store that comes back are few

What was wrong: while no designated daemon reached the store, each other daemon called it for all collections, and went on so for seconds after its return. Pauses between tries did not grow, and those of registering had no jitter.

Cause: a daemon that no designated one could serve took the store to be reachable for itself, though these had answered that it was not; and it left the copy of a new era to them, but asked the store again at once.

Change: when the designated daemons answer that they do not reach the store, as many substitutes try it, with one call each; the others poll these and try the store once in at least 0.8 s per daemon of the fleet. Pauses grow, with jitter, for polls, probes and registering; those of a designated daemon end when one of its polls succeeds. A designated daemon reads a collection at once if it has heard of a later era. Daemons that lack the store are asked again after 0.5 s instead of 2 s. The order of daemons computes each score once.

--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -12,11 +12,14 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/placement"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/retry"
 )
 
-// registerAgainJitter spreads the writes of the daemons that register again after the store
-// came back from an older copy.
-const registerAgainJitter = time.Second
+// Delays of writes of this daemon's record.
+const (
+	registerAgainJitter  = time.Second     // spreads the writes after the store came back from an older copy
+	longestRegisterPause = 4 * time.Second // between two tries
+)
 
 // Daemon is the record with which a daemon registers itself in the store. The encoded
 // names are kept for daemons of other builds.
@@ -115,12 +118,22 @@
 		return
 	}
 	f.daemons[name] = d
-	delete(f.suspectedAt, name)
+	delete(f.suspectedUntil, name)
 }
 
 // register writes this daemon's record, replacing that of its previous incarnation. It
 // tries until it succeeds, in the background once a configuration is known.
 func (f *Follower) register(ctx context.Context) {
+	f.registerAfter(ctx, registerRetries())
+}
+
+// registerRetries returns the pauses between failed tries to register.
+func registerRetries() *retry.Backoff {
+	return &retry.Backoff{First: 2 * storeRetryDelay, Limit: longestRegisterPause}
+}
+
+// registerAfter is register, with the pauses after further failures.
+func (f *Follower) registerAfter(ctx context.Context, pauses *retry.Backoff) {
 	for ctx.Err() == nil {
 		err := f.putSelf(ctx)
 		if err == nil {
@@ -130,12 +143,12 @@
 		if f.catalog.Load().Configuration != nil {
 			// The daemon can serve with what the seeds sent, so don't delay its start.
 			f.background.Go(func(ctx context.Context) {
-				sleep(ctx, storeRetryDelay)
-				f.register(ctx)
+				sleep(ctx, pauses.Next())
+				f.registerAfter(ctx, pauses)
 			})
 			return
 		}
-		sleep(ctx, storeRetryDelay)
+		sleep(ctx, pauses.Next())
 	}
 }
 
--- a/internal/follow/designated.go
+++ b/internal/follow/designated.go
@@ -12,11 +12,15 @@
 // number of cores, then by descending score.
 func (f *Follower) followOrder() []Daemon {
 	daemons := f.Daemons()
+	scores := make(map[model.DaemonID]float64, len(daemons))
+	for _, d := range daemons {
+		scores[d.Name] = d.Score(string(ServiceName))
+	}
 	sort.Slice(daemons, func(i, j int) bool {
 		if daemons[i].Cores != daemons[j].Cores {
 			return daemons[i].Cores > daemons[j].Cores
 		}
-		return daemons[i].Score(string(ServiceName)) > daemons[j].Score(string(ServiceName))
+		return scores[daemons[i].Name] > scores[daemons[j].Name]
 	})
 	return daemons
 }
@@ -25,26 +29,37 @@
 // first ones of each zone. The other daemons prefer to poll one of their own zone, so that
 // a change comes to a zone from the store and is passed on within it. Each zone has up to
 // minStoreFollowers divided by the number of zones, rounded up; fewer if it has fewer daemons.
-func (f *Follower) DesignatedFollowers() []Daemon {
+func (f *Follower) DesignatedFollowers() []Daemon { return f.followers(0) }
+
+// substitutes returns the daemons that poll the store while none of the designated ones reaches
+// it, and that the others then try to poll: the next ones of each zone, as many as are
+// designated.
+func (f *Follower) substitutes() []Daemon { return f.followers(1) }
+
+// followers returns the daemons of a tier: the designated ones are tier 0.
+func (f *Follower) followers(tier int) []Daemon {
 	ordered := f.followOrder()
 	perZone := map[model.Zone]int{}
 	for _, d := range ordered {
 		perZone[d.Zone] = 0
 	}
 	zoneQuota := (minStoreFollowers + len(perZone) - 1) / len(perZone)
-	var designated []Daemon
+	var chosen []Daemon
 	for _, d := range ordered {
-		if perZone[d.Zone] < zoneQuota {
-			perZone[d.Zone]++
-			designated = append(designated, d)
+		if perZone[d.Zone]/zoneQuota == tier {
+			chosen = append(chosen, d)
 		}
+		perZone[d.Zone]++
 	}
-	return designated
+	return chosen
 }
 
 // Designated reports whether this daemon is to poll the store itself.
-func (f *Follower) Designated() bool {
-	for _, d := range f.DesignatedFollowers() {
+func (f *Follower) Designated() bool { return f.isAmong(f.DesignatedFollowers()) }
+
+// isAmong reports whether this daemon is one of the given ones.
+func (f *Follower) isAmong(daemons []Daemon) bool {
+	for _, d := range daemons {
 		if d.Name == f.config.Name {
 			return true
 		}
@@ -52,20 +67,21 @@
 	return false
 }
 
-// Suspected reports whether a daemon was marked by Suspect within suspectDuration and has
-// not registered again since.
+// Suspected reports whether a daemon is suspected and has not registered again since.
 func (f *Follower) Suspected(name model.DaemonID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, ok := f.suspectedAt[name]
-	return ok && time.Since(at) < suspectDuration
+	return time.Now().Before(f.suspectedUntil[name])
 }
 
-// Suspect marks a daemon as suspected because it did not answer or its data is outdated.
-func (f *Follower) Suspect(name model.DaemonID) {
+// Suspect marks a daemon as suspected for suspectDuration because it did not answer or its data
+// is outdated.
+func (f *Follower) Suspect(name model.DaemonID) { f.suspectFor(name, suspectDuration) }
+
+func (f *Follower) suspectFor(name model.DaemonID, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspectedAt[name] = time.Now()
+	f.suspectedUntil[name] = time.Now().Add(d)
 }
 
 // nearestFirst shuffles the daemons and moves those of this daemon's zone to the front.
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -4,7 +4,9 @@
 //
 // To limit the load on the store, only a few designated daemons poll the store
 // for changes. Each other daemon polls one of these, and falls back to the store
-// when none of them answers with data that is recent enough. All polls are long
+// when none of them answers with data that is recent enough. If they answer that
+// they do not reach the store, a few substitutes try it, and the others poll these
+// and try the store themselves late and rarely: see storeTurn. All polls are long
 // polls: the answer comes with the next change or at the end of the wait.
 //
 // The copy of each collection has a floor and a revision: it holds all changes
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,14 +40,20 @@
 	storeCalls  *metrics.Counter
 	log         *zap.Logger
 
+	// callPeer asks the daemon at a control address (ip:port) for changes.
+	callPeer func(ctx context.Context, address string, r *pollRequest) (*pollResponse, error)
+
 	replicas map[platform.Collection]*replica
+	turn     storeTurn                              // used by run only
 	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
-	mu          sync.Mutex
-	daemons     map[model.DaemonID]daemonRecord    // as registered
-	suspectedAt map[model.DaemonID]time.Time       // when a daemon last did not answer or had outdated data
-	changed     chan struct{}                      // closed at the next change of any copy
-	servers     map[model.ServerID]*catalog.Server // used on the control goroutine only
+	mu      sync.Mutex
+	daemons map[model.DaemonID]daemonRecord // as registered
+	// suspectedUntil is the time until which a daemon is not asked, as it did not answer or had
+	// outdated data.
+	suspectedUntil map[model.DaemonID]time.Time
+	changed        chan struct{}                      // closed at the next change of any copy
+	servers        map[model.ServerID]*catalog.Server // used on the control goroutine only
 
 	departed map[model.ServerID]*departedServer // used on the control goroutine only
 
@@ -85,27 +91,30 @@
 	log *zap.Logger,
 ) *Follower {
 	f := &Follower{
-		config:      c,
-		incarnation: model.Incarnation(uuid.NewString()[:8]),
-		loop:        loop,
-		store:       store,
-		dialect:     d,
-		catalog:     cat,
-		client:      client,
-		storeCalls:  registry.Counter(`store_calls_total`),
-		log:         log.Named(string(ServiceName)),
-		replicas:    map[platform.Collection]*replica{},
-		rereads:     map[platform.Collection]*rereadLimiter{},
-		daemons:     map[model.DaemonID]daemonRecord{},
-		suspectedAt: map[model.DaemonID]time.Time{},
-		changed:     make(chan struct{}),
-		servers:     map[model.ServerID]*catalog.Server{},
-		departed:    map[model.ServerID]*departedServer{},
+		config:         c,
+		incarnation:    model.Incarnation(uuid.NewString()[:8]),
+		loop:           loop,
+		store:          store,
+		dialect:        d,
+		catalog:        cat,
+		client:         client,
+		storeCalls:     registry.Counter(`store_calls_total`),
+		log:            log.Named(string(ServiceName)),
+		replicas:       map[platform.Collection]*replica{},
+		rereads:        map[platform.Collection]*rereadLimiter{},
+		daemons:        map[model.DaemonID]daemonRecord{},
+		suspectedUntil: map[model.DaemonID]time.Time{},
+		changed:        make(chan struct{}),
+		servers:        map[model.ServerID]*catalog.Server{},
+		departed:       map[model.ServerID]*departedServer{},
 	}
 	for _, c := range collections {
 		f.replicas[c] = newReplica(c == platform.Shared)
 		f.rereads[c] = &rereadLimiter{}
 	}
+	f.callPeer = func(ctx context.Context, address string, r *pollRequest) (*pollResponse, error) {
+		return rpc.Call[pollResponse](ctx, f.client, address, methodPoll, r)
+	}
 	rpc.Handle(server, methodPoll, f.servePoll)
 	return f
 }
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -46,13 +46,22 @@
 }
 
 // followPeers polls one of the designated daemons for as long as it answers and reaches the
-// store. It reports false when there is no such daemon.
+// store, or one of their substitutes if the designated ones answer but do not reach it. It
+// reports false when there is no such daemon.
 func (f *Follower) followPeers(ctx context.Context) bool {
-	for _, d := range f.nearestFirst(f.DesignatedFollowers()) {
+	if f.followOneOf(ctx, f.DesignatedFollowers(), f.turn.storeFound) {
+		return true
+	}
+	return f.turn.storeless && f.followOneOf(ctx, f.substitutes(), func() { f.turn.postpone(time.Now()) })
+}
+
+// followOneOf polls one of some daemons, as followPeer says.
+func (f *Follower) followOneOf(ctx context.Context, daemons []Daemon, onUsable func()) bool {
+	for _, d := range f.nearestFirst(daemons) {
 		if d.Name == f.config.Name || f.Suspected(d.Name) {
 			continue
 		}
-		if f.followPeer(ctx, d) {
+		if f.followPeer(ctx, d, onUsable) {
 			return true
 		}
 	}
@@ -62,7 +71,8 @@
 // followPeer polls one daemon until a poll fails, the daemon does not reach the store, its
 // data is outdated, this daemon becomes designated or ctx ends. It reports true when no other
 // daemon need be tried now: at least one answer was usable, or ctx had ended before a poll.
-func (f *Follower) followPeer(ctx context.Context, d Daemon) bool {
+// It calls onUsable with each usable answer.
+func (f *Follower) followPeer(ctx context.Context, d Daemon, onUsable func()) bool {
 	answered := false
 	for ctx.Err() == nil {
 		response, err := f.poll(ctx, d.Control, peerPollWait)
@@ -72,16 +82,17 @@
 			return answered
 		}
 		if !response.StoreReachable || time.Duration(response.AgeMS)*time.Millisecond > maxStoreAge {
-			f.Suspect(d.Name)
+			f.suspectStoreless(d)
 			f.log.Info("the peer does not reach the store or its data is outdated, trying another one", zap.String("peer", string(d.Name)), zap.Int64("age_ms", response.AgeMS))
 			return answered
 		}
 		if f.inEarlierEra(response) {
-			f.Suspect(d.Name)
+			f.suspectStoreless(d)
 			f.log.Info("the peer has not heard of the store's era yet, trying another one", zap.String("peer", string(d.Name)))
 			return answered
 		}
 		answered = true
+		onUsable()
 		if f.Designated() {
 			return true
 		}
@@ -89,13 +100,18 @@
 	return true
 }
 
+// suspectStoreless marks a daemon as suspected that answers but does not reach the store now.
+func (f *Follower) suspectStoreless(d Daemon) {
+	f.suspectFor(d.Name, storelessDuration)
+	f.turn.storeLacking(time.Now(), len(f.Daemons()), f.isAmong(f.substitutes()))
+}
+
 // poll asks the daemon at a control address (ip:port) for changes, and applies them. The
 // daemon answers without a change after the given wait.
 func (f *Follower) poll(ctx context.Context, address string, wait time.Duration) (*pollResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerPollTimeout-peerPollWait)
 	defer cancel()
-	request := f.newPollRequest(wait)
-	response, err := rpc.Call[pollResponse](ctx, f.client, address, methodPoll, request)
+	response, err := f.callPeer(ctx, address, f.newPollRequest(wait))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/follow/reread.go
+++ b/internal/follow/reread.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -33,8 +34,7 @@
 	first := !limiter.again
 	pause := limiter.pause()
 	if first && !f.Designated() {
-		f.log.Info("the store does not have the changes since the last poll, asking the other daemons", zap.String("collection", string(c)), zap.Error(why))
-		return nil
+		return errors.Wrap(why, "the designated daemons read the whole collection first")
 	}
 	f.log.Info("the store does not have the changes since the last poll, reading the whole collection", zap.String("collection", string(c)), zap.Error(why))
 	sleep(ctx, pause)
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -11,65 +11,87 @@
 	"go.uber.org/zap"
 
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/retry"
 )
 
 // Periods, delays and bounds.
 const (
-	minStoreFollowers      = 3                       // least number of designated daemons, if there are as many
-	storePollWait          = 900 * time.Millisecond  // the store answers a poll without a change after this time
-	sharedPollWait         = 1700 * time.Millisecond // the same for platform.Shared, whose changes need not arrive within a bound
-	storePollSlack         = 500 * time.Millisecond  // time beyond the wait for the store's answer, enough for a slow store
-	readTimeout            = 1500 * time.Millisecond // for one read of a whole collection, or one write
-	peerPollWait           = 600 * time.Millisecond  // a daemon answers a poll without a change after this time
-	peerPollTimeout        = 900 * time.Millisecond  // for one poll of a daemon with a wait of peerPollWait
-	changeBatchDelay       = 150 * time.Millisecond  // pause after a change, so that the next poll returns further ones together
-	seedTimeout            = 100 * time.Millisecond  // time without an answer of a seed after which the store is read too
-	bootstrapDelay         = 400 * time.Millisecond  // time for the other daemons of a new fleet to register
-	storeRetryDelay        = 300 * time.Millisecond  // pause after a failed call of the store
-	undesignatedRetryDelay = time.Second             // the same for a daemon that is not designated
-	suspectDuration        = 2 * time.Second         // time for which a daemon that failed to answer is not asked again
-	maxStoreAge            = 3000 * time.Millisecond // age from which on the store counts as unreachable, and a peer's data as outdated
+	minStoreFollowers = 3                       // least number of designated daemons, if there are as many
+	storePollWait     = 900 * time.Millisecond  // the store answers a poll without a change after this time
+	sharedPollWait    = 1700 * time.Millisecond // the same for platform.Shared, whose changes need not arrive within a bound
+	storePollSlack    = 500 * time.Millisecond  // time beyond the wait for the store's answer, enough for a slow store
+	readTimeout       = 1500 * time.Millisecond // for one read of a whole collection, or one write
+	peerPollWait      = 600 * time.Millisecond  // a daemon answers a poll without a change after this time
+	peerPollTimeout   = 900 * time.Millisecond  // for one poll of a daemon with a wait of peerPollWait
+	changeBatchDelay  = 150 * time.Millisecond  // pause after a change, so that the next poll returns further ones together
+	seedTimeout       = 100 * time.Millisecond  // time without an answer of a seed after which the store is read too
+	bootstrapDelay    = 400 * time.Millisecond  // time for the other daemons of a new fleet to register
+	storeRetryDelay   = 300 * time.Millisecond  // shortest pause after a failed call of the store
+	wakePeriod        = 50 * time.Millisecond   // between two looks whether the store is back, in longer pauses
+	suspectDuration   = 2 * time.Second         // time for which a daemon that failed to answer is not asked again
+	storelessDuration = 500 * time.Millisecond  // the same for one that answers but does not reach the store
+	peerRetryDelay    = 300 * time.Millisecond  // pause before the peers are tried again, up to twice as long at random
+	maxStoreAge       = 3000 * time.Millisecond // age from which on the store counts as unreachable, and a peer's data as outdated
 )
 
 // run loads the collections, registers this daemon and keeps the collections current
 // until ctx ends.
 func (f *Follower) run(ctx context.Context) {
+	retries := storeRetries()
 	for !f.loadAll(ctx) && ctx.Err() == nil {
-		sleep(ctx, storeRetryDelay)
+		sleep(ctx, retries.Next())
 	}
 	f.register(ctx)
 	f.awaitOtherDaemons(ctx)
 	for ctx.Err() == nil {
-		if f.Designated() {
-			f.followStore(ctx)
-			continue
-		}
-		if !f.followPeers(ctx) {
+		switch {
+		case f.Designated():
 			f.followStore(ctx)
+		case f.followPeers(ctx):
+		case f.turn.due(time.Now()):
+			reached := (f.turn.reached || f.probeStore(ctx)) && f.followStore(ctx)
+			f.turn.called(time.Now(), reached)
+		default:
+			sleep(ctx, peerRetryDelay+rand.N(peerRetryDelay))
 		}
 	}
 }
 
 // followStore polls the store for all collections: in a designated daemon until ctx ends
-// or it is no longer designated, in another one once for each collection.
-func (f *Follower) followStore(ctx context.Context) {
+// or it is no longer designated, in another one once for each collection. It reports whether
+// the last poll of any of them succeeded.
+func (f *Follower) followStore(ctx context.Context) bool {
 	var loops sync.WaitGroup
+	var reached atomic.Bool
 	for _, c := range collections {
-		loops.Add(1)
-		go func() {
-			defer loops.Done()
-			f.followCollection(ctx, c)
-		}()
+		loops.Go(func() {
+			if f.followCollection(ctx, c) {
+				reached.Store(true)
+			}
+		})
 	}
 	loops.Wait()
+	return reached.Load()
+}
+
+// probeStore calls the store once, for the changes of one collection without waiting for any, and
+// reports whether that succeeded.
+func (f *Follower) probeStore(ctx context.Context) bool {
+	if err := f.pollStore(ctx, platform.Configurations, 0); err != nil {
+		f.log.Info("the store could not be polled instead of another daemon", zap.String("peer", "store"), zap.Error(err))
+		return false
+	}
+	return true
 }
 
-// followCollection polls the store for one collection, as followStore says.
-func (f *Follower) followCollection(ctx context.Context, c platform.Collection) {
+// followCollection polls the store for one collection, as followStore says. It reports whether
+// the last poll succeeded.
+func (f *Follower) followCollection(ctx context.Context, c platform.Collection) bool {
 	failing := false
+	retries := storeRetries()
 	defer func() { f.countFailing(failing, false) }()
 	for ctx.Err() == nil {
-		err := f.pollStore(ctx, c)
+		err := f.pollStore(ctx, c, pollWait(c))
 		if err != nil && !failing {
 			f.log.Warn("polls of the store fail", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 		}
@@ -80,12 +102,22 @@
 		failing = err != nil
 		if failing {
 			f.catchUpFromPeers(ctx)
-			f.sleepAfterFailure(ctx)
 		}
 		if !f.Designated() {
-			return
+			return !failing
+		}
+		if failing {
+			f.sleepAfterFailure(ctx, retries.Next())
+		} else {
+			retries = storeRetries()
 		}
 	}
+	return !failing
+}
+
+// storeRetries returns the pauses between polls of the store that fail.
+func storeRetries() retry.Backoff {
+	return retry.Backoff{First: 2 * storeRetryDelay, Limit: 4 * storeRetryDelay}
 }
 
 // countFailing counts the collections whose last poll of the store failed, given the
@@ -102,31 +134,37 @@
 	}
 }
 
-// sleepAfterFailure waits before the next call of the store after one that failed: for
-// one to two times the delay, at random. The delay is longer for daemons that call the
-// store only because no designated daemon is usable.
-func (f *Follower) sleepAfterFailure(ctx context.Context) {
-	minDelay := storeRetryDelay
-	if !f.Designated() {
-		minDelay = undesignatedRetryDelay
+// sleepAfterFailure waits before the next poll of the store after one that failed. If no poll
+// of any collection succeeded, it ends soon after one does: the store is back.
+func (f *Follower) sleepAfterFailure(ctx context.Context, pause time.Duration) {
+	began := time.Now()
+	wakeable := int(f.failingCollections.Load()) == len(collections)
+	sleep(ctx, min(pause, storeRetryDelay))
+	for ctx.Err() == nil && time.Since(began) < pause && !(wakeable && f.StoreAge() < time.Since(began)) {
+		sleep(ctx, min(wakePeriod, pause-time.Since(began)))
 	}
-	sleep(ctx, minDelay+rand.N(minDelay))
+}
+
+// pollWait returns the time after which the store answers a poll for a collection without a
+// change.
+func pollWait(c platform.Collection) time.Duration {
+	if c == platform.Shared {
+		return sharedPollWait
+	}
+	return storePollWait
 }
 
 // pollStore waits for the next changes of a collection and applies them. It reads the
-// whole collection when there is no copy yet, or the store does not have the changes since
-// the copy's position.
-func (f *Follower) pollStore(ctx context.Context, c platform.Collection) error {
-	if f.replicas[c].completeUpTo().IsZero() {
+// whole collection when there is no copy yet, the copy is of an earlier era, or the store does
+// not have the changes since the copy's position.
+func (f *Follower) pollStore(ctx context.Context, c platform.Collection, wait time.Duration) error {
+	have := f.replicas[c].completeUpTo()
+	if have.IsZero() || (have.Era < f.StoreEra() && f.Designated()) {
 		return f.readCollection(ctx, c)
 	}
-	wait := storePollWait
-	if c == platform.Shared {
-		wait = sharedPollWait
-	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait+storePollSlack)
 	defer cancel()
-	page, err := f.store.Changes(waitCtx, c, f.replicas[c].completeUpTo(), wait)
+	page, err := f.store.Changes(waitCtx, c, have, wait)
 	f.storeCalls.Inc()
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return f.reread(ctx, c, err)
