ownership: fleets whose servers check no grants serve on over a restored store

Cause: versions of an assignment, terms and epochs were numbered from the row that the table has. After the return they were given out again below those that the daemons knew, so every daemon ignored the coordinator's versions until their number had caught up, and the fleet went on under attested permits of the lost version. The same class could give two owners: a lost move left no trace, acknowledgements and attestations of lost versions counted for later ones of the same number, a delta could be applied to another version of its base's number, a candidate took a lease whose renewals were lost, and a write meant for the time before could replace a row of the time after.

Change: - platform: rows state the era of the answer, writes the era that they are meant for (ErrOtherEra). EraKey gives each era lease and assignment rows of its own. Numbers that must rise have the era above 40 bits, as fences have (NextInEra). - The holder of a valid lease writes lease and latest assignment again in the new era: while the lease is valid nobody else can have written. That includes an assignment whose write has no known outcome. - Any other candidate waits until a lost lease has expired. Without a row of the era it begins with an unsettled assignment: no dispatchers, no moves, new epochs. Nobody may send until a barrier with it is passed, also under a successor. - A daemon that has read the table in a later era attests no version of an earlier one (Versions.floor). Recorded forms: new fields unsettled and floor, left out when zero.

setDefault took flags that another test had set for those of the command line; it now looks at the command line once.

The fleet row and claims still have no order over eras.

--- a/internal/attest/attest.go
+++ b/internal/attest/attest.go
@@ -297,20 +297,27 @@
 	if err != nil {
 		return err
 	}
-	if err := a.readFleet(ctx); err != nil {
+	era, err := a.readFleet(ctx)
+	if err != nil {
 		return err
 	}
 	for _, row := range rows {
+		if row.Era != era {
+			return errors.Wrapf(platform.ErrOtherEra, "read assignments: era %d, then %d", row.Era, era)
+		}
 		var assignment ownership.Assignment
 		if err := json.Unmarshal(row.Value, &assignment); err != nil {
 			return errors.Wrapf(err, "decode %s", row.Key)
 		}
+		if ownership.EraOf(assignment.Seq) != era {
+			continue // the table may have lost later ones
+		}
 		a.store.Apply(&assignment)
 		a.Observe(assignment.Pool, assignment.Seq)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.witness.MarkSynced()
+	a.witness.MarkSynced(era)
 	return nil
 }
 
--- a/internal/attest/fleet.go
+++ b/internal/attest/fleet.go
@@ -48,21 +48,22 @@
 	a.spread.SchedulePush(topicFleet)
 }
 
-// readFleet reads the fleet row from the table. A missing row is no error.
-func (a *Attester) readFleet(ctx context.Context) error {
+// readFleet reads the fleet row from the table and returns the table's era. A missing row
+// is no error.
+func (a *Attester) readFleet(ctx context.Context) (platform.Era, error) {
 	row, err := a.table.Get(ctx, fleetRow)
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil
+		return row.Era, nil
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var fleet ownership.Fleet
 	if err := json.Unmarshal(row.Value, &fleet); err != nil {
-		return errors.Wrap(err, "decode fleet row")
+		return 0, errors.Wrap(err, "decode fleet row")
 	}
 	a.observeFleet(fleet)
-	return nil
+	return row.Era, nil
 }
 
 // fleetLoop writes the fleet row when the daemons in the instance list change. Only the
@@ -165,7 +166,8 @@
 		WriteID: platform.WriteID(uuid.NewString()),
 	})
 	if errors.Is(err, platform.ErrConflict) {
-		return a.readFleet(ctx)
+		_, err = a.readFleet(ctx)
+		return err
 	}
 	if err != nil {
 		return errors.Wrap(err, "write fleet row")
--- a/internal/coordinator/candidate.go
+++ b/internal/coordinator/candidate.go
@@ -44,7 +44,8 @@
 
 	// mu serializes the steps that access the lease row in the table.
 	mu    sync.Mutex
-	row   platform.RowVersion  // version of the lease row as last read or written
+	era   platform.Era         // era of the table, as of the last answer
+	row   platform.RowVersion  // version of that era's lease row as last read or written
 	lease ownership.Lease      // content of that version
 	watch ownership.LeaseWatch // how long the row has been unchanged
 	reads leaseReads           // spaces the reads while the coordinator is missed
@@ -56,7 +57,7 @@
 }
 
 func newCandidate(c *Coordinator, pool model.PoolName) *candidate {
-	return &candidate{c: c, pool: pool, wake: make(chan struct{}, 1), log: c.log.With(zap.String("pool", string(pool)))}
+	return &candidate{c: c, pool: pool, era: platform.FirstEra, wake: make(chan struct{}, 1), log: c.log.With(zap.String("pool", string(pool)))}
 }
 
 // wakeUp makes run take its next step at once.
@@ -190,7 +191,7 @@
 		cand.log.Debug("reading the control lease failed", zap.String("step", "lease"), zap.String("peer", "platform"), zap.Error(err))
 		return leaseRetryDelay
 	}
-	if !cand.watch.CanAcquire(cand.lease, cand.c.config.Name, now) {
+	if !cand.watch.CanAcquire(cand.lease, cand.era, cand.c.config.Name, now) {
 		return leaseRetryDelay
 	}
 	if !cand.mayAcquireFirst(cand.lease) {
@@ -207,14 +208,18 @@
 	return lease.Term > 0 || cand.position("") == 0 || time.Since(cand.watch.UnchangedSince()) > ownership.LeaseDuration
 }
 
-// readLease reads the lease row and records its version.
+// readLease reads the lease row of the table's era and records its version.
 func (cand *candidate) readLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
-	row, err := cand.c.table.Get(ctx, cand.leaseKey())
+	row, err := cand.c.table.Get(ctx, platform.EraKey(cand.leaseKey(), cand.era))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
+	if row.Era != cand.era {
+		cand.enterEra(row.Era)
+		return errors.Wrapf(platform.ErrOtherEra, "read lease: era %d", row.Era)
+	}
 	cand.row = row.Version
 	cand.lease = ownership.Lease{}
 	if row.Version > 0 {
@@ -232,7 +237,7 @@
 	next := ownership.Lease{
 		Holder:      cand.c.config.Name,
 		Incarnation: cand.c.member.Incarnation(),
-		Term:        cand.lease.Term + 1,
+		Term:        cand.lease.NextTerm(cand.era),
 	}
 	asked := time.Now()
 	if err := cand.writeLease(ctx, next); err != nil {
@@ -241,13 +246,17 @@
 	}
 	earlier := cand.lease
 	cand.lease = next
-	ctl := newController(cand.c, cand.pool, next.Term)
+	cand.startControl(ctx, newController(cand.c, cand.pool, next.Term, cand.era), asked, acquireCause(earlier))
+	return ownership.LeaseRenewInterval
+}
+
+// startControl starts the controller of a lease whose write was sent at the given time.
+func (cand *candidate) startControl(ctx context.Context, ctl *controller, asked time.Time, cause string) {
 	ctl.extendLease(asked)
 	_ = cand.c.loop.Call(ctx, func() { cand.controller = ctl })
 	cand.c.counters.leases(1)
-	cand.c.journal.Add(journal.Event{Kind: journal.LeaseTaken, Pool: cand.pool, Cause: acquireCause(earlier), Term: next.Term})
+	cand.c.journal.Add(journal.Event{Kind: journal.LeaseTaken, Pool: cand.pool, Cause: cause, Term: ctl.term})
 	cand.c.background.Go(ctl.run)
-	return ownership.LeaseRenewInterval
 }
 
 func acquireCause(earlier ownership.Lease) string {
@@ -271,10 +280,11 @@
 		return errors.Wrap(err, "encode lease")
 	}
 	version, err := platform.WriteAndConfirm(ctx, cand.c.table, platform.Write{
-		Key:     cand.leaseKey(),
+		Key:     platform.EraKey(cand.leaseKey(), cand.era),
 		Value:   value,
 		Expect:  cand.row,
 		WriteID: platform.WriteID(uuid.NewString()),
+		Era:     cand.era,
 	})
 	if err != nil {
 		return errors.Wrap(err, "write lease")
@@ -287,6 +297,9 @@
 // negative, the row is read back: the lease continues if the row still names
 // this daemon under its term. It returns the pause until the next step.
 func (cand *candidate) renew(ctx context.Context, ctl *controller) time.Duration {
+	if ctl.era != cand.era {
+		return cand.keepControl(ctx, ctl)
+	}
 	asked := time.Now()
 	err := cand.writeLease(ctx, cand.lease)
 	if err == nil {
@@ -295,7 +308,9 @@
 	}
 	cand.log.Debug("renewing the control lease failed", zap.String("step", "renew"), zap.String("peer", "platform"), zap.Error(err))
 	own := cand.lease
-	if err := cand.readLease(ctx); err != nil {
+	if err := cand.readLease(ctx); errors.Is(err, platform.ErrOtherEra) {
+		return 0
+	} else if err != nil {
 		return leaseRetryDelay
 	}
 	if cand.lease != own {
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -30,13 +30,21 @@
 	c    *Coordinator
 	pool model.PoolName
 	term model.Term
+	era  platform.Era // era of the table in which the lease was acquired
 	wake chan struct{}
 	log  *zap.Logger
 
+	// known is the assignment with which this term begins if this daemon has it from
+	// its earlier term, else nil.
+	known *ownership.Assignment
+
 	lease leaseState
 
-	// row is the version of the assignment row. Only run's goroutine uses it.
-	row platform.RowVersion
+	// row is the version of the assignment row, and eraEnded says that a write was
+	// answered in a later era, so that no other may be planned. Only run's goroutine
+	// uses them.
+	row      platform.RowVersion
+	eraEnded bool
 
 	// current is the newest assignment written in this term, nil before the
 	// first write.
@@ -64,13 +72,16 @@
 	until  time.Time          // expiry of the lease
 	ended  bool               // end was called
 	cancel context.CancelFunc // cancels run; nil before run starts
+	// latest: see latestAssignment
+	latest *ownership.Assignment
 }
 
-func newController(c *Coordinator, pool model.PoolName, term model.Term) *controller {
+func newController(c *Coordinator, pool model.PoolName, term model.Term, era platform.Era) *controller {
 	return &controller{
 		c:           c,
 		pool:        pool,
 		term:        term,
+		era:         era,
 		wake:        make(chan struct{}, 1),
 		log:         c.log.With(zap.String("pool", string(pool)), zap.Uint64("term", uint64(term))),
 		acks:        map[model.DaemonID]ownership.Ack{},
@@ -143,7 +154,7 @@
 	}
 	go ctl.announceDrained(ctx)
 	for {
-		again := ctl.holdsLease() && ctl.round(ctx)
+		again := ctl.holdsLease() && !ctl.eraEnded && ctl.round(ctx)
 		if again {
 			continue
 		}
@@ -172,15 +183,24 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	assignment := &ownership.Assignment{Pool: ctl.pool}
-	row, err := ctl.c.table.Get(ctx, ctl.rowKey())
-	if err == nil {
+	row, err := ctl.c.table.Get(ctx, platform.EraKey(ctl.rowKey(), ctl.era))
+	switch {
+	case err == nil:
 		err = json.Unmarshal(row.Value, assignment)
+	case !errors.Is(err, platform.ErrNotFound):
+	case ctl.known != nil:
+		assignment, err = ctl.known, nil
+	case ctl.era > platform.FirstEra:
+		assignment, err = ctl.unsettled(ctx)
+	default:
+		err = nil
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil {
 		ctl.log.Warn("reading the assignment failed", zap.String("step", "begin"), zap.String("peer", "platform"), zap.Error(err))
 		return false
 	}
 	ctl.row = row.Version
+	ctl.noteLatest(assignment)
 	return ctl.c.loop.Call(ctx, func() { ctl.adopt(assignment, time.Now()) }) == nil
 }
 
@@ -195,6 +215,7 @@
 	ctl.resetLastHeard(now)
 }
 
+// rowKey returns the key of the assignment row in the first era of the table.
 func (ctl *controller) rowKey() string { return attest.AssignmentPrefix + string(ctl.pool) }
 
 // newest returns the assignment on which the next one is based. It runs on the
@@ -244,8 +265,10 @@
 		ctl.log.Error("encoding the assignment failed", zap.String("step", "encode"), zap.Error(err))
 		return false
 	}
-	w := platform.Write{Key: ctl.rowKey(), Value: value, Expect: ctl.row, WriteID: platform.WriteID(uuid.NewString())}
+	w := platform.Write{Key: platform.EraKey(ctl.rowKey(), ctl.era), Value: value, Expect: ctl.row, WriteID: platform.WriteID(uuid.NewString()), Era: ctl.era}
 	ambiguous := false
+	earlier := ctl.latestAssignment()
+	ctl.noteLatest(next)
 	for {
 		version, err := ctl.tryWrite(ctx, w)
 		if err == nil {
@@ -261,7 +284,11 @@
 		case errors.Is(err, platform.ErrAmbiguous):
 			ctl.c.counters.ambiguous(1)
 			ambiguous = true
+		case errors.Is(err, platform.ErrOtherEra):
+			ctl.endEra(ctx)
+			return false
 		case !ambiguous:
+			ctl.noteLatest(earlier)
 			sleep(ctx, retryDelay)
 			return false
 		}
@@ -285,6 +312,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 		row, err := ctl.c.table.Get(callCtx, w.Key)
 		cancel()
+		if row.Era > ctl.era {
+			ctl.endEra(ctx)
+			return false
+		}
 		if err == nil && row.WriteID == w.WriteID {
 			ctl.row = row.Version
 			ctl.c.counters.writes(1)
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -224,11 +224,11 @@
 }
 
 // startBarrier starts a barrier (see awaitBarrier) when a change is blocked by a
-// silent dispatcher. Once the barrier is done, no dispatcher that has not acknowledged
+// silent dispatcher or the assignment is unsettled. Once the barrier is done, no dispatcher that has not acknowledged
 // its version holds a permit of an earlier one. It runs on the control
 // goroutine.
 func (ctl *controller) startBarrier(ctx context.Context) {
-	if ctl.barrierRunning || ctl.current == nil || !ctl.blockedBySilent() {
+	if ctl.barrierRunning || ctl.current == nil || !(ctl.blockedByUnsettled() || ctl.blockedBySilent()) {
 		return
 	}
 	ctl.barrierRunning = true
@@ -251,6 +251,12 @@
 	ctl.wakeUp()
 }
 
+// blockedByUnsettled reports whether the assignment is unsettled and no barrier has been
+// passed with it.
+func (ctl *controller) blockedByUnsettled() bool {
+	return ctl.current.Unsettled && ctl.barrierSeq < ctl.current.Seq
+}
+
 // blockedBySilent reports whether a retiring dispatcher, or a dispatcher of a
 // server that shards move away from, is silent and not covered by the last
 // barrier.
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -35,6 +35,7 @@
 	}
 	return ownership.View{
 		Now:         now,
+		Era:         ctl.era,
 		Term:        ctl.term,
 		Coordinator: ctl.self(),
 		Rules:       rulesOf(pool),
--- a/internal/ownership/assignment.go
+++ b/internal/ownership/assignment.go
@@ -24,6 +24,10 @@
 	// HotKeys lists the keys that have a shard of their own, or will get one.
 	HotKeys []HotKey `json:"hot_keys,omitempty"`
 	Servers []Server `json:"servers"`
+	// Unsettled reports that dispatchers that the assignment does not list may still
+	// send under versions that the table has lost. Nobody may send under it, and no
+	// version without the mark may follow before all earlier permits have expired.
+	Unsettled bool `json:"unsettled,omitempty"`
 	// EndedMoves is the number of moves that WithDrained ended in this copy; zero
 	// in the version that the table has.
 	EndedMoves int `json:"-"`
--- a/internal/ownership/delta.go
+++ b/internal/ownership/delta.go
@@ -23,6 +23,7 @@
 	Shards      []ShardChange    `json:"shards,omitempty"`      // new and changed shards
 	Servers     []Server         `json:"servers,omitempty"`     // new and changed servers
 	Removed     []model.ServerID `json:"removed,omitempty"`     // servers that were removed
+	Unsettled   bool             `json:"unsettled,omitempty"`
 }
 
 // ShardChange is the new value of one shard.
@@ -43,6 +44,7 @@
 		FixedShards: next.FixedShards,
 		HotKeys:     next.HotKeys,
 		ShardCount:  len(next.Shards),
+		Unsettled:   next.Unsettled,
 	}
 	if base == nil {
 		base = &Assignment{}
@@ -86,6 +88,7 @@
 		HotKeys:     d.HotKeys,
 		Shards:      make([]Shard, d.ShardCount),
 		Servers:     slices.Clone(base.Servers),
+		Unsettled:   d.Unsettled,
 	}
 	copy(next.Shards, base.Shards)
 	for _, change := range d.Shards {
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // Durations of control leases.
@@ -23,8 +24,14 @@
 	Term        model.Term        `json:"term"`
 }
 
+// NextTerm returns the term that follows a lease in an era. The table gives no term
+// out twice, whatever it has lost.
+func (l Lease) NextTerm(era platform.Era) model.Term {
+	return model.Term(platform.NextInEra(uint64(l.Term), era))
+}
+
 // LeaseWatch tracks, for a candidate, how long a lease row has been unchanged.
-// Each renewal changes the row's version.
+// Each renewal changes the row's version. A watch is for one era.
 type LeaseWatch struct {
 	version uint64    // of the row as last read
 	since   time.Time // when the row was first read in this version
@@ -51,8 +58,12 @@
 	return w.seen && !now.Before(w.since.Add(LeaseDuration+ClockMargin))
 }
 
-// CanAcquire reports whether the candidate may write itself into the row that
-// it last observed.
-func (w *LeaseWatch) CanAcquire(row Lease, candidate model.DaemonID, now time.Time) bool {
+// CanAcquire reports whether the candidate may write itself into the row of an era
+// that it last observed. A row without a term was never written: in a later era the
+// lease may then be that of a holder of the era before, whom the table has lost.
+func (w *LeaseWatch) CanAcquire(row Lease, era platform.Era, candidate model.DaemonID, now time.Time) bool {
+	if row.Term == 0 && era > platform.FirstEra {
+		return w.Expired(now)
+	}
 	return row.Holder == "" || row.Holder == candidate || w.Expired(now)
 }
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/placement"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // Parameters of the simulation.
@@ -56,11 +58,16 @@
 	must.Positive(t, outages)
 }
 
-// setDefault sets a flag unless the command line sets it.
+// givenFlags returns the names of the flags that the command line sets.
+var givenFlags = sync.OnceValue(func() map[string]bool {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	return given
+})
+
+// setDefault sets a flag unless the command line sets it. Another test may have set it.
 func setDefault(t *testing.T, name string, value int) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if !given {
+	if !givenFlags()[name] {
 		must.NoError(t, flag.Set(name, fmt.Sprint(value)))
 	}
 }
@@ -78,6 +85,7 @@
 	witness     *Witness
 	coord       *modelCoordinator
 	watch       LeaseWatch
+	era         platform.Era // era of the table as the daemon's candidate knows it
 }
 
 // partition is the set of daemons with which a daemon cannot communicate.
@@ -92,10 +100,13 @@
 // modelCoordinator is a coordinator during one term.
 type modelCoordinator struct {
 	term         model.Term
-	until        time.Time   // expiry of the lease
-	version      uint64      // version of the assignment row
-	current      *Assignment // last assignment that this coordinator wrote, nil before the first
-	inherited    *Assignment // assignment in the table when the term began
+	era          platform.Era // era of the table in which the lease was acquired
+	latest       *Assignment  // on which the next one must be based, also if the outcome of its write is not known
+	eraEnded     bool         // a write was answered in a later era
+	until        time.Time    // expiry of the lease
+	version      uint64       // version of the assignment row
+	current      *Assignment  // last assignment that this coordinator wrote, nil before the first
+	inherited    *Assignment  // assignment in the table when the term began
 	acks         map[model.DaemonID]Ack
 	ended        map[model.Incarnation]time.Time // when the end of each ended incarnation was detected
 	barrierSeq   model.Seq                       // View.BarrierSeq: version of the last completed barrier
@@ -109,7 +120,8 @@
 // modelWrite is a conditional write that is being sent to the table.
 type modelWrite struct {
 	id      int
-	expect  uint64 // row version that the table must still have
+	era     platform.Era // era that the write is meant for
+	expect  uint64       // row version that the table must still have
 	next    *Assignment
 	changes []Change
 }
@@ -133,6 +145,12 @@
 	incarnations int                        // number of incarnations started
 	stopped      map[model.Incarnation]bool // incarnations that have ended
 
+	era          platform.Era
+	copies       []modelCopy // states to which the table can return, oldest first
+	copied       *Assignment // newest assignment row of the eras before, as the older copy has it
+	restored     int         // returns of the table to an older copy
+	kept, lost   int         // control leases that were kept over a return, and terms that began unsettled
+	settled      int         // unsettled assignments that were settled
 	storeDown    bool        // the table cannot be reached
 	row          *Assignment // assignment row in the table
 	rowVersion   uint64
@@ -145,6 +163,7 @@
 	network  []func() // messages in transit
 	requests []*modelRequest
 	epochs   map[model.ShardID]model.Epoch // highest epoch under which a request was sent
+	owners   map[modelEpoch]model.ServerID // server to which requests were sent under an epoch
 
 	moves, barriers, attested int // completed moves, completed barriers, and permits renewed by attestations
 	early                     int // requests sent to the target of a move before the table showed its end
@@ -154,11 +173,13 @@
 func newModelCluster(*rapid.T) *modelCluster {
 	m := &modelCluster{
 		now:     time.Unix(1_000_000, 0),
+		era:     platform.FirstEra,
 		servers: map[model.ServerID]ServerState{},
 		stopped: map[model.Incarnation]bool{},
 		row:     &Assignment{Pool: "pool"},
 		history: map[model.Seq]*Assignment{},
 		epochs:  map[model.ShardID]model.Epoch{},
+		owners:  map[modelEpoch]model.ServerID{},
 	}
 	for i := range modelServers {
 		m.servers[model.ServerID(fmt.Sprintf("s%d", i))] = ServerActive
@@ -172,7 +193,7 @@
 	for _, d := range m.daemons {
 		m.startIncarnation(d)
 		d.witness.ObserveFleet(fleet)
-		d.witness.MarkSynced()
+		d.witness.MarkSynced(m.era)
 	}
 	return m
 }
@@ -185,6 +206,7 @@
 	d.replica = NewReplica(d.id, d.incarnation)
 	d.witness = NewWitness()
 	d.watch = LeaseWatch{}
+	d.era = platform.FirstEra
 }
 
 // actions returns the actions of which a history consists. rapid chooses among them
@@ -414,6 +436,13 @@
 		return
 	}
 	asked := m.now
+	if d.era != m.era {
+		d.era, d.watch = m.era, LeaseWatch{}
+	}
+	if d.coord != nil && d.coord.era != m.era {
+		m.keepLease(d)
+		return
+	}
 	if d.coord != nil {
 		if m.lease.Incarnation == d.incarnation {
 			m.leaseVersion++
@@ -424,16 +453,23 @@
 		return
 	}
 	d.watch.Observe(m.leaseVersion, m.now)
-	if m.leaseVersion > 0 && !d.watch.CanAcquire(m.lease, d.id, m.now) {
+	if !d.watch.CanAcquire(m.lease, m.era, d.id, m.now) {
 		return
 	}
+	m.startControl(d, m.inheritedBy(d), asked)
+}
+
+// startControl writes the lease of a daemon and starts its term.
+func (m *modelCluster) startControl(d *modelDaemon, inherited *Assignment, asked time.Time) {
 	m.leaseVersion++
-	m.lease = Lease{Holder: d.id, Incarnation: d.incarnation, Term: m.lease.Term + 1}
+	m.lease = Lease{Holder: d.id, Incarnation: d.incarnation, Term: m.lease.NextTerm(m.era)}
 	d.coord = &modelCoordinator{
 		term:      m.lease.Term,
+		era:       m.era,
+		latest:    inherited,
 		until:     asked.Add(LeaseDuration),
 		version:   m.rowVersion,
-		inherited: m.row,
+		inherited: inherited,
 		acks:      map[model.DaemonID]Ack{},
 		ended:     map[model.Incarnation]time.Time{},
 	}
@@ -442,7 +478,7 @@
 // round plans the next assignment and sends the write to the table.
 func (m *modelCluster) round(d *modelDaemon) {
 	c := d.coord
-	if !isRunning(d) || c == nil || c.write != nil || !m.now.Before(c.until) {
+	if !isRunning(d) || c == nil || c.write != nil || c.eraEnded || !m.now.Before(c.until) {
 		return
 	}
 	m.passBarrier(c)
@@ -455,14 +491,23 @@
 		return
 	}
 	m.writes++
-	c.write = &modelWrite{id: m.writes, expect: c.version, next: next, changes: changes}
+	c.write = &modelWrite{id: m.writes, era: c.era, expect: c.version, next: next, changes: changes}
+	c.latest = next
 	m.sendWrite(d, c)
 }
 
 func (m *modelCluster) sendWrite(d *modelDaemon, c *modelCoordinator) {
 	write := c.write
 	m.network = append(m.network, func() {
-		if m.storeDown || m.rowVersion != write.expect {
+		if m.storeDown {
+			return
+		}
+		if write.era != m.era {
+			m.writeCopied(write)
+			c.eraEnded = true
+			return
+		}
+		if m.rowVersion != write.expect {
 			return
 		}
 		m.rowVersion++
@@ -485,6 +530,9 @@
 		if change.Kind == ChangeMoveEnded {
 			m.moves++
 		}
+		if change.Kind == ChangeSettled {
+			m.settled++
+		}
 	}
 }
 
@@ -495,6 +543,8 @@
 		return
 	}
 	switch {
+	case c.era != m.era:
+		c.eraEnded = true
 	case m.rowWrite == c.write.id:
 		m.commit(d, c, c.write)
 	case m.rowVersion > c.write.expect:
@@ -510,6 +560,7 @@
 func (m *modelCluster) view(d *modelDaemon, c *modelCoordinator) View {
 	view := View{
 		Now:         m.now,
+		Era:         c.era,
 		Term:        c.term,
 		Coordinator: Coordinator{Daemon: d.id, Incarnation: d.incarnation},
 		Rules: PoolRules{Keyed: true, Shards: modelShards, Slots: 1, AttemptTimeout: modelAttemptTimeout,
@@ -699,8 +750,9 @@
 		t.Fatalf("%s sends for shard %d under epoch %d after epoch %d", d.incarnation, request.shard, request.epoch, highest)
 	}
 	m.epochs[request.shard] = request.epoch
+	m.checkEpochOwner(t, d, request)
 	m.requests = append(m.requests, request)
-	if m.row.Shards[request.shard].Epoch < request.epoch {
+	if shard, ok := m.row.Shard(request.shard); ok && shard.Epoch < request.epoch {
 		m.early++
 	}
 }
@@ -736,7 +788,7 @@
 	}
 	if !m.storeDown {
 		d.witness.Observe("pool", m.row.Seq)
-		d.witness.MarkSynced()
+		d.witness.MarkSynced(m.era)
 		if m.row.Seq > 0 {
 			d.receive(m.row)
 		}
@@ -802,7 +854,7 @@
 		if assignment == nil {
 			continue
 		}
-		if m.history[assignment.Seq] != assignment || assignment.Seq > m.row.Seq {
+		if m.history[assignment.Seq] != assignment || (EraOf(assignment.Seq) == m.era && assignment.Seq > m.row.Seq) {
 			t.Fatalf("%s has seq %d, which the table does not have", d.id, assignment.Seq)
 		}
 		if want := assignment.WithDrained(d.drained); d.replica.Seq() != want.Seq || !slices.Equal(d.replica.Assignment().Shards, want.Shards) {
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/placement"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // ChangeKind is what a Change concerns.
@@ -20,6 +21,7 @@
 	ChangeMoveEnded   ChangeKind = "move_ended"   // a drained shard got its next owner, or keeps its owner under a new epoch
 	ChangeKeySplit    ChangeKind = "key_split"    // a shard began to drain, to split a hot key out of it
 	ChangeFirstShards ChangeKind = "first_shards" // shards were created or got their first owner
+	ChangeSettled     ChangeKind = "settled"      // all permits of versions that the table has lost have expired
 )
 
 // Change is one decision of Plan with its cause.
@@ -37,6 +39,10 @@
 // written to the table. current is not modified.
 func Plan(current *Assignment, view View) (*Assignment, []Change) {
 	p := newPlanner(current, view)
+	if current.Unsettled && !view.settles(current) {
+		return p.planUnsettled()
+	}
+	p.settle()
 	p.dropInheritedSplits()
 	p.syncServers()
 	p.syncDispatchers()
@@ -63,7 +69,7 @@
 func newPlanner(current *Assignment, view View) *planner {
 	next := *current
 	next.Term = view.Term
-	next.Seq = current.Seq + 1
+	next.Seq = model.Seq(platform.NextInEra(uint64(current.Seq), view.Era))
 	next.Keyed = view.Rules.Keyed
 	next.Coordinator = view.Coordinator
 	next.Shards = slices.Clone(current.Shards)
--- a/internal/ownership/view.go
+++ b/internal/ownership/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/placement"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // PoolRules are the settings of a pool that affect ownership.
@@ -46,7 +47,9 @@
 // View is the coordinator's view of the pool and the fleet: the input of Plan
 // besides the current assignment.
 type View struct {
-	Now         time.Time
+	Now time.Time
+	// Era is the table's era in which the next assignment is written.
+	Era         platform.Era
 	Term        model.Term
 	Coordinator Coordinator
 	Rules       PoolRules
--- a/internal/ownership/witness.go
+++ b/internal/ownership/witness.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // Versions are the newest versions that a daemon has seen in the table, of the
@@ -11,8 +12,15 @@
 type Versions struct {
 	Fleet FleetVersion                 `json:"fleet"`
 	Pools map[model.PoolName]model.Seq `json:"pools,omitempty"`
+	// Floor is below all versions of the table's era in which the daemon has read the
+	// table since its start. Of earlier eras it knows nothing.
+	Floor model.Seq `json:"floor,omitempty"`
 }
 
+// newest returns the newest version of a pool's assignment that the daemon may have
+// seen.
+func (v *Versions) newest(pool model.PoolName) model.Seq { return max(v.Pools[pool], v.Floor) }
+
 // Witness records which versions one incarnation of a daemon has seen. Its
 // attestations let a dispatcher renew its permits without the coordinator:
 // before a coordinator stops waiting for a silent dispatcher, it has a majority
@@ -22,6 +30,7 @@
 	synced bool                         // see Synced
 	fleet  Fleet                        // newest fleet row
 	pools  map[model.PoolName]model.Seq // newest version of each pool's assignment
+	floor  model.Seq                    // see Versions
 }
 
 // NewWitness returns a witness that has seen no versions and is not synced.
@@ -48,8 +57,12 @@
 // Fleet returns the newest recorded fleet row.
 func (w *Witness) Fleet() Fleet { return w.fleet }
 
-// MarkSynced records that this incarnation has read all rows from the table.
-func (w *Witness) MarkSynced() { w.synced = true }
+// MarkSynced records that this incarnation has read all rows of an era from the table.
+// It attests no version of an earlier era: the table may have lost later ones.
+func (w *Witness) MarkSynced(era platform.Era) {
+	w.synced = true
+	w.floor = max(w.floor, model.Seq(platform.FloorOfEra(era)))
+}
 
 // Synced reports whether the witness has caught up since the daemon started.
 // Attestations of a witness that is not synced do not count, because its
@@ -58,7 +71,7 @@
 
 // Versions returns a copy of the versions seen.
 func (w *Witness) Versions() Versions {
-	return Versions{Fleet: w.fleet.Version, Pools: maps.Clone(w.pools)}
+	return Versions{Fleet: w.fleet.Version, Pools: maps.Clone(w.pools), Floor: w.floor}
 }
 
 // Attestation is a daemon's answer to the question which versions it has seen.
@@ -80,7 +93,7 @@
 func (w *Witness) AttestedNewest(pool model.PoolName, seq model.Seq, attestations []Attestation) bool {
 	counted := map[model.DaemonID]bool{}
 	for _, a := range attestations {
-		if a.Synced && a.Fleet <= w.fleet.Version && a.Pools[pool] <= seq {
+		if a.Synced && a.Fleet <= w.fleet.Version && a.newest(pool) <= seq {
 			counted[a.Daemon] = true
 		}
 	}
@@ -117,6 +130,7 @@
 		for pool, seq := range a.Pools {
 			w.Observe(pool, seq)
 		}
+		w.floor = max(w.floor, a.Floor)
 	}
 	w.synced = true
 	return true
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+
+	"github.com/pkg/errors"
 
 	"github.com/chicorylug/chicorylug/internal/model"
 )
@@ -19,6 +20,9 @@
 	// ErrUnavailable reports that the platform could not be reached or refused the
 	// call. No write took effect.
 	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrOtherEra reports that the store came back from an older copy since the era for
+	// which the write was meant, or before. Whatever the write did proves nothing.
+	ErrOtherEra = errors.New("platform: the store came back from an older copy")
 )
 
 // RowVersion orders the writes of one row: each write raises it. Zero stands for an
@@ -35,6 +39,8 @@
 	Value   []byte     `json:"value"`
 	Version RowVersion `json:"version"`
 	WriteID WriteID    `json:"write_id"`
+	// Era is the store's era at the read.
+	Era Era `json:"-"`
 }
 
 // Write is a conditional write: it takes effect only if the row's version equals
@@ -44,14 +50,28 @@
 	Value   []byte     `json:"value"`
 	Expect  RowVersion `json:"expect"`
 	WriteID WriteID    `json:"write_id"`
+	// Era is the era for which the write is meant, zero for any.
+	Era Era `json:"-"`
+}
+
+// meantFor reports whether the write is meant for an era.
+func (w *Write) meantFor(era Era) bool { return w.Era == 0 || w.Era == era }
+
+// CheckEra returns ErrOtherEra if the write is not meant for the era of its answer.
+func (w *Write) CheckEra(era Era) error {
+	if w.meantFor(era) {
+		return nil
+	}
+	return errors.Wrapf(ErrOtherEra, "write %s: era %d, want %d", w.Key, era, w.Era)
 }
 
 // Table is the platform's table with conditional writes.
 type Table interface {
-	// Get returns the row, or ErrNotFound or ErrUnavailable.
+	// Get returns the row, or ErrNotFound or ErrUnavailable. With ErrNotFound the row
+	// states the store's era only.
 	Get(ctx context.Context, key string) (Row, error)
 	// CompareAndSet writes the row and returns its new version, or ErrConflict,
-	// ErrAmbiguous or ErrUnavailable.
+	// ErrAmbiguous, ErrUnavailable or ErrOtherEra.
 	CompareAndSet(ctx context.Context, w Write) (RowVersion, error)
 	// List returns at most limit rows whose key starts with prefix.
 	List(ctx context.Context, prefix string, limit int) ([]Row, error)
@@ -111,9 +131,9 @@
 
 // WriteAndConfirm writes the row and, if the outcome is ambiguous, reads the row and
 // compares its write ID. It returns the row's version if the write took effect,
-// ErrConflict if another write has changed the row, and ErrAmbiguous if the row
-// could not be read, does not exist or has not changed. Other errors of
-// CompareAndSet are returned as they are.
+// ErrConflict if another write has changed the row, ErrOtherEra if the era for which
+// the write was meant has ended, and ErrAmbiguous if the row could not be read, does
+// not exist or has not changed. Other errors of CompareAndSet are returned as they are.
 func WriteAndConfirm(ctx context.Context, t Table, w Write) (RowVersion, error) {
 	version, err := t.CompareAndSet(ctx, w)
 	if !errors.Is(err, ErrAmbiguous) {
@@ -121,6 +141,8 @@
 	}
 	row, err := t.Get(ctx, w.Key)
 	switch {
+	case (err == nil || errors.Is(err, ErrNotFound)) && !w.meantFor(row.Era):
+		return 0, w.CheckEra(row.Era)
 	case errors.Is(err, ErrNotFound):
 		return 0, ErrAmbiguous
 	case err != nil:
--- a/internal/platform/position.go
+++ b/internal/platform/position.go
@@ -1,6 +1,9 @@
 package platform
 
-import "cmp"
+import (
+	"cmp"
+	"strconv"
+)
 
 // Era counts the store's returns from an older copy of itself. Each return begins the
 // next era: the changes made since the copy are lost, and the revisions continue from
@@ -10,6 +13,38 @@
 // FirstEra is the era of a store that has never come back from an older copy.
 const FirstEra Era = 1
 
+// EraKey returns the key of a row that each era has for itself, so that a write meant for
+// another era can't change it. In the first era it is the key itself.
+func EraKey(key string, era Era) string {
+	if era <= FirstEra {
+		return key
+	}
+	return key + eraSeparator + strconv.FormatUint(uint64(era), 10)
+}
+
+// eraSeparator stands between a row's key and its era.
+const eraSeparator = "@"
+
+// eraShift is the number of bits below the era in a number that must rise over all eras.
+const eraShift = 40
+
+// FloorOfEra returns a number that is below all numbers that NextInEra gives out in an
+// era, and not below those of earlier eras.
+func FloorOfEra(era Era) uint64 { return uint64(max(era, FirstEra)-FirstEra) << eraShift }
+
+// NextInEra returns the number that follows n in an era. Numbers of a later era are
+// higher than those of an earlier one, whatever the store has lost.
+func NextInEra(n uint64, era Era) uint64 { return max(n, FloorOfEra(era)) + 1 }
+
+// EraOfNumber returns the era in which NextInEra gave out a number. Zero, which it never
+// gives out, counts as of the first era.
+func EraOfNumber(n uint64) Era {
+	if n == 0 {
+		return FirstEra
+	}
+	return FirstEra + Era((n-1)>>eraShift)
+}
+
 // Position is a point in the store's history. Positions are ordered by era first:
 // revisions of different eras are not comparable. The zero value is before all others.
 type Position struct {
