claim: claims that the store has lost are written again before anything is claimed

Seen by callers (in the model): a repeat of a request with an idempotency key ran a second time after the store came back from an older copy without the claim, or with an earlier record that says "released".

Cause: the row was the only trace of a claim. Outcomes were written with a row version of the era before; the conflict was taken for "written earlier", and a version given out again could have replaced another request's row.

Change: a daemon remembers its claims of the last minute (4096 at most, claims_forgotten counts the rest) and writes them again when it hears of a new era: by any answer of the store to any part of the daemon (platform.EraWatch), or by another daemon's confirmation (topic claims_written_again). Until all listed daemons have confirmed, nothing is claimed: callers get the answer of an unavailable store, not run. After 15 s daemons that don't confirm are waited for no longer, with a log line. Writes state the era that they are meant for; a record states the era of its claim (recorded form: era), so that the trace of a write meant for the era before yields to the claim that it hides.

Broken once: no wait for the confirmations (both new tests fail); no rewriting (the wait for the confirmations never ends). TestNothingIsClaimedBefore... failed on a first try without the era in the record: the row of a write that was meant for the era before stayed in place of the completed claim. Not seen by the tests: a released claim that is written over another daemon's. internal/claim also passes with -race.

Conclusion: a second run needs a daemon that is lost, or cut off for 15 s, with its claims of the lost seconds.

--- a/internal/claim/counters.go
+++ b/internal/claim/counters.go
@@ -13,6 +13,9 @@
 	writes     *expvar.Int
 	unrecorded *expvar.Int // background tasks that failed, or were dropped because too many were running
 	removed    *expvar.Int // expired claims that were removed
+	rewritten  *expvar.Int // claims that were written again after the store had lost them
+	forgotten  *expvar.Int // recent claims that can't be written again, because too many were made
+	unsettled  *expvar.Int // requests that were refused because lost claims may not be written again yet
 }
 
 func newCounters(registry *metrics.Registry) counters {
@@ -21,5 +24,8 @@
 		writes:     registry.Int("claim_writes"),
 		unrecorded: registry.Int("claim_outcomes_unsettled"),
 		removed:    registry.Int("claims_removed"),
+		rewritten:  registry.Int("claims_written_again"),
+		forgotten:  registry.Int("claims_forgotten"),
+		unsettled:  registry.Int("claims_refused_unsettled"),
 	}
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // State is the state of a claimed request as recorded in the table.
@@ -72,6 +73,8 @@
 	// holder does not dispatch the request after DispatchByMS.
 	ClaimedMS    int64 `json:"claimed_ms"`
 	DispatchByMS int64 `json:"dispatch_by_ms"`
+	// Era is the store's era in which the claim was made.
+	Era platform.Era `json:"era,omitempty"`
 	// ResponseLocation, Response, Object, BodyBytes and BodySHA256 describe a completed request.
 	ResponseLocation ResponseLocation `json:"kept,omitempty"`
 	Response         *Response        `json:"answer,omitempty"` // without the body if that is not in the row
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,17 +46,22 @@
 	log             *zap.Logger
 	backgroundTasks chan struct{} // one element for each running background task
 	counters        counters
+	eras            eraState
+	recent          recentClaims
 }
 
 // New returns a store whose claims are held by the daemon that c names.
 func New(c *config.Config, p platform.Platform, registry *metrics.Registry, log *zap.Logger) *Store {
-	return &Store{
+	s := &Store{
 		holder:          c.Name,
 		platform:        p,
 		log:             log.Named("claim"),
 		backgroundTasks: make(chan struct{}, maxBackgroundTasks),
 		counters:        newCounters(registry),
+		recent:          recentClaims{claims: map[*Claim]time.Time{}},
 	}
+	p.OnEra(s.noticeEra)
+	return s
 }
 
 // Request describes a request to be claimed.
@@ -69,8 +75,12 @@
 
 // Claim is a claim that this daemon holds.
 type Claim struct {
-	store   *Store
-	key     Key
+	store *Store
+	key   Key
+
+	mu      sync.Mutex          // held while the row is written and read
+	held    bool                // the row was written: the request may be dispatched
+	era     platform.Era        // in which this daemon last wrote the row
 	version platform.RowVersion // of the row as this daemon last wrote it
 	record  Record
 }
@@ -81,15 +91,20 @@
 func (s *Store) Claim(ctx context.Context, r Request) (*Claim, *Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	c := &Claim{store: s, key: r.Key, record: Record{
+	era, err := s.settledEra(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &Claim{store: s, key: r.Key, era: era, record: Record{
 		State:        Claimed,
 		Fingerprint:  r.Fingerprint,
 		Holder:       s.holder,
 		Request:      r.Request,
 		ClaimedMS:    time.Now().UnixMilli(),
 		DispatchByMS: r.DispatchBy.UnixMilli(),
+		Era:          era,
 	}}
-	err := c.acquire(ctx, 0)
+	err = c.acquire(ctx, 0)
 	if err == nil {
 		return c, nil, nil
 	}
@@ -103,7 +118,7 @@
 // a request with the same fingerprint, it claims the row; otherwise it returns the
 // record.
 func (s *Store) claimReleased(ctx context.Context, c *Claim) (*Claim, *Record, error) {
-	version, found, err := s.read(ctx, c.key)
+	version, found, err := s.read(ctx, c.key, c.era)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -117,16 +132,20 @@
 	if !errors.Is(err, platform.ErrConflict) {
 		return nil, nil, err
 	}
-	_, found, err = s.read(ctx, c.key)
+	_, found, err = s.read(ctx, c.key, c.era)
 	return nil, found, err
 }
 
-func (s *Store) read(ctx context.Context, key Key) (platform.RowVersion, *Record, error) {
+// read reads the record of a claim in an era.
+func (s *Store) read(ctx context.Context, key Key, era platform.Era) (platform.RowVersion, *Record, error) {
 	s.counters.reads.Add(1)
 	row, err := s.platform.Get(ctx, string(key))
 	if err != nil {
 		return 0, nil, errors.Wrapf(ErrStoreUnavailable, "read the row of the claim: %v", err)
 	}
+	if row.Era != era {
+		return 0, nil, errors.Wrapf(ErrStoreUnavailable, "read the row of the claim: era %d, want %d", row.Era, era)
+	}
 	record, err := decode(row.Value)
 	return row.Version, record, err
 }
@@ -136,6 +155,20 @@
 // whether the write took effect, the request is not dispatched, and a background
 // task releases the claim if it was written.
 func (c *Claim) acquire(ctx context.Context, expect platform.RowVersion) error {
+	// The claim is remembered before the write: a later era that is noticed earlier
+	// fails the write, and one that is noticed later finds the claim.
+	c.store.remember(c)
+	err := c.tryAcquire(ctx, expect)
+	if err != nil {
+		c.store.forget(c)
+	}
+	return err
+}
+
+// tryAcquire does the work of acquire.
+func (c *Claim) tryAcquire(ctx context.Context, expect platform.RowVersion) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	write, err := c.newWrite(expect)
 	if err != nil {
 		return err
@@ -143,11 +176,11 @@
 	version, err := platform.WriteAndConfirm(ctx, c.store.platform, write)
 	switch {
 	case err == nil:
-		c.version = version
+		c.version, c.held = version, true
 		return nil
 	case errors.Is(err, platform.ErrConflict):
 		return platform.ErrConflict
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, platform.ErrAmbiguous), errors.Is(err, platform.ErrOtherEra):
 		c.store.retryInBackground(func() bool { return c.releaseIfWritten(write) })
 	}
 	return errors.Wrapf(ErrStoreUnavailable, "write the row of the claim: %v", err)
@@ -161,6 +194,7 @@
 		Value:   value,
 		Expect:  expect,
 		WriteID: platform.WriteID(uuid.NewString()),
+		Era:     c.era,
 	}, err
 }
 
@@ -177,65 +211,90 @@
 	if row.WriteID != write.WriteID {
 		return true
 	}
-	c.version = row.Version
+	c.setVersion(row)
 	return c.Release(ctx) == nil
 }
 
+// setVersion records the row as read in the claim's present state.
+func (c *Claim) setVersion(row platform.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era, c.version = row.Era, row.Version
+}
+
+// setState changes the state to be written.
+func (c *Claim) setState(state State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.State = state
+}
+
 // Release records that the request provably did not run, so that a repeat may run.
 func (c *Claim) Release(ctx context.Context) error {
-	c.record.State = Released
+	c.setState(Released)
 	return c.save(ctx)
 }
 
 // RecordUnknown records that the request may have run and that no complete response
 // arrived.
 func (c *Claim) RecordUnknown(ctx context.Context) error {
-	c.record.State = Unknown
+	c.setState(Unknown)
 	return c.save(ctx)
 }
 
 // Complete records the response. Bodies up to MaxObjectBodyBytes are stored.
 func (c *Claim) Complete(ctx context.Context, response *Response) error {
-	c.record.State = Completed
-	c.record.BodyBytes = int64(len(response.Body))
-	c.record.BodySHA256 = digest(response.Body)
-	c.storeResponse(ctx, response)
+	completed := c.record
+	completed.State = Completed
+	completed.BodyBytes = int64(len(response.Body))
+	completed.BodySHA256 = digest(response.Body)
+	c.store.storeResponse(ctx, &completed, response)
+	c.setRecord(completed)
 	return c.save(ctx)
 }
 
 // CompleteWithoutBody records that a server responded, with the status only.
 func (c *Claim) CompleteWithoutBody(ctx context.Context, status int) error {
-	c.record.State = Completed
-	c.record.ResponseLocation = ResponseNotStored
-	c.record.Response = &Response{Status: status}
+	completed := c.record
+	completed.State = Completed
+	completed.ResponseLocation = ResponseNotStored
+	completed.Response = &Response{Status: status}
+	c.setRecord(completed)
 	return c.save(ctx)
 }
 
-// storeResponse adds the response to the record: a small body goes into the row, a
+// setRecord replaces the record to be written.
+func (c *Claim) setRecord(r Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record = r
+}
+
+// storeResponse adds the response to a record: a small body goes into the row, a
 // larger one into the object store. A failure of the object store is only logged.
-func (c *Claim) storeResponse(ctx context.Context, response *Response) {
+func (s *Store) storeResponse(ctx context.Context, record *Record, response *Response) {
 	stored := *response
 	stored.Body = nil
-	c.record.Response = &stored
+	record.Response = &stored
 	if len(response.Body) <= MaxRowBodyBytes {
 		stored.Body = response.Body
-		c.record.ResponseLocation = ResponseInRow
+		record.ResponseLocation = ResponseInRow
 		return
 	}
-	c.record.ResponseLocation = ResponseNotStored
+	record.ResponseLocation = ResponseNotStored
 	if len(response.Body) > MaxObjectBodyBytes {
 		return
 	}
-	name := objectPrefix + string(c.record.Request)
+	name := objectPrefix + string(record.Request)
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	c.store.counters.writes.Add(1)
-	if err := c.store.platform.PutObject(ctx, name, response.Body); err != nil {
-		c.store.log.Warn("response body not stored; repeats of the request get no response", zap.String("step", "put object"), zap.String("peer", "platform"), zap.Error(err))
+	s.counters.writes.Add(1)
+	if err := s.platform.PutObject(ctx, name, response.Body); err != nil {
+		s.log.Warn("response body not stored; repeats of the request get no response", zap.String("step", "put object"), zap.String("peer", "platform"), zap.Error(err))
 		return
 	}
-	c.record.ResponseLocation = ResponseInObject
-	c.record.Object = name
+	record.ResponseLocation = ResponseInObject
+	record.Object = name
 }
 
 // save writes the record if the row still has the version that the claim wrote last.
@@ -254,15 +313,21 @@
 
 // saveOnce writes the record once. Only the holder writes the row of a claim, so a
 // conflict means that an earlier attempt took effect although its result was lost,
-// and that the row is already in the wanted state.
+// and that the row is already in the wanted state. If the store has come back from an
+// older copy since the last write, the row is read first.
 func (c *Claim) saveOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	write, err := c.newWrite(c.version)
 	if err != nil {
 		return err
 	}
 	version, err := platform.WriteAndConfirm(ctx, c.store.platform, write)
+	if errors.Is(err, platform.ErrOtherEra) {
+		return c.writeAgain(ctx)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,9 @@
 	standin *platformd.Server // test implementation of the platform
 	client  *adapter.Store
 	stores  []*Store
+
+	mu        sync.Mutex
+	confirmed [2]platform.Era // see confirmation
 }
 
 func startFixture(t *testing.T) *fixture {
@@ -112,7 +116,7 @@
 		_, err = f.client.CompareAndSet(ctx, platform.Write{Key: string(key), Value: value, WriteID: "w"})
 		must.NoError(t, err)
 	}
-	sweeper := NewSweeper(f.stores[0], directory.New())
+	sweeper := &Sweeper{store: f.stores[0], directory: directory.New()}
 	for first := range 256 {
 		sweeper.sweep(ctx, hexByte(first)+"000000", time.Now())
 	}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -10,7 +10,9 @@
 
 	"github.com/chicorylug/chicorylug/internal/directory"
 	"github.com/chicorylug/chicorylug/internal/kernel"
+	"github.com/chicorylug/chicorylug/internal/member"
 	"github.com/chicorylug/chicorylug/internal/platform"
+	"github.com/chicorylug/chicorylug/internal/spread"
 )
 
 // ServiceName is the name of the sweeper in the kernel.
@@ -35,8 +37,10 @@
 	background kernel.Background
 }
 
-// NewSweeper returns a sweeper that is not yet started.
-func NewSweeper(s *Store, dir *directory.Directory) *Sweeper {
+// NewSweeper returns a sweeper that is not yet started. It makes the store exchange
+// confirmations with the other daemons.
+func NewSweeper(s *Store, dir *directory.Directory, m *member.Tracker, sp *spread.Replicator) *Sweeper {
+	s.SetConfirmations(newFleetConfirmations(s, m, sp))
 	return &Sweeper{store: s, directory: dir}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -122,11 +122,20 @@
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
-// Platform combines the table, the object store and the instance list.
+// EraWatch tells of the store's eras.
+type EraWatch interface {
+	// OnEra calls f with each later era that an answer to any call of this client
+	// states, before the caller gets the answer, and at once with the newest one so far.
+	// f must not block.
+	OnEra(f func(Era))
+}
+
+// Platform combines the table, the object store, the instance list and the watch of eras.
 type Platform interface {
 	Table
 	ObjectStore
 	InstanceList
+	EraWatch
 }
 
 // WriteAndConfirm writes the row and, if the outcome is ambiguous, reads the row and
