settingstore: accepted versions outlive a store that comes back from an older copy

Seen by operators: after the return the table had an older version than the one in force. Nobody wrote the lost one again: a daemon that started put the older one in force, the next change was based on it, and its version number was that of the lost change. The daemons that had the lost change ignored the new one, and an operator's change based on the lost version was accepted over a text that the operator had not seen.

Cause: versions were numbered from the row that the table has, and writes were conditional on its row version, across eras.

Change: each era has a row of its own for the current version, and writes state the era that they are meant for. A daemon that reads a row of the copy writes the newest version that it knows to the row of the era, before it accepts a change.

No test plays the report of a lost version. Rows of the history have no era: a version that was archived by a write meant for an era that had ended may show another text there.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -36,6 +36,7 @@
 	Thawed            Kind = "thawed" // a pool is no longer frozen
 	SettingsInForce   Kind = "settings_in_force"
 	SettingsRefused   Kind = "settings_refused" // this build cannot compile an accepted settings version
+	SettingsLost      Kind = "settings_lost"    // the store has lost an accepted settings version, and another one was accepted since
 	RequestRefused    Kind = "request_refused"
 	RequestSuspected  Kind = "request_suspected" // a server crashed; the requests that it ran may have caused it
 )
--- a/internal/settingstore/accept.go
+++ b/internal/settingstore/accept.go
@@ -44,7 +44,10 @@
 // tryAccept makes one attempt to accept a change. It returns errRowChanged if
 // another change replaced the current version in the meantime.
 func (s *Store) tryAccept(ctx context.Context, change Change) (Record, error) {
-	current, err := s.table.current(ctx)
+	current, err := s.currentVersion(ctx)
+	if errors.Is(err, errRowChanged) {
+		return Record{}, err
+	}
 	if err != nil {
 		return Record{}, errors.Wrapf(ErrNotAccepted, "%v", err)
 	}
@@ -56,13 +59,14 @@
 		return Record{}, err
 	}
 	next := Record{
-		Version: current.Version + 1,
+		Version: current.nextVersion(),
 		Base:    change.Base,
 		Scope:   change.Scope,
 		Author:  change.Author,
 		Note:    change.Note,
 		At:      time.Now(),
 		WriteID: change.WriteID,
+		Era:     current.era,
 		Tree:    string(text),
 	}
 	return next, s.table.replace(ctx, current, next)
@@ -74,8 +78,11 @@
 	if current.WriteID == change.WriteID {
 		return current.Record, true
 	}
-	for v := current.Version - 1; v > change.Base; v-- {
+	for v := current.Version - 1; v > change.Base && current.Version-v <= maxVersions; v-- {
 		old, err := s.table.version(ctx, v)
+		if errors.Is(err, ErrNoVersion) {
+			continue // left out at the beginning of an era
+		}
 		if err != nil {
 			return Record{}, false
 		}
--- a/internal/settingstore/record.go
+++ b/internal/settingstore/record.go
@@ -23,6 +23,8 @@
 	At     time.Time      `json:"at"`
 	// WriteID identifies the change, so that the operator's tool may send it again.
 	WriteID platform.WriteID `json:"write_id"`
+	// Era is the store's era in which the version was accepted.
+	Era platform.Era `json:"era,omitempty"`
 	// Tree is the text of the whole tree. In the table it is empty if the text is
 	// larger than maxInlineBytes; the text is then in the object store under Object.
 	Tree   string `json:"tree,omitempty"`
@@ -56,7 +58,7 @@
 		WriteID: platform.WriteID(uuid.NewString()),
 		Tree:    string(tree),
 	}
-	return errors.Wrap(table{p}.replace(ctx, storedRecord{}, first), "write the first settings version")
+	return errors.Wrap(newTable(p).replace(ctx, storedRecord{}, first), "write the first settings version")
 }
 
 // Errors of Accept besides jsonc.Problems and ConflictError.
--- a/internal/settingstore/settingstore.go
+++ b/internal/settingstore/settingstore.go
@@ -88,7 +88,7 @@
 	s := &Store{
 		config:    c,
 		loop:      loop,
-		table:     table{p},
+		table:     newTable(p),
 		member:    m,
 		spread:    sp,
 		client:    client,
@@ -201,7 +201,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	s.reads.Add(1)
-	current, err := s.table.current(ctx)
+	current, err := s.currentVersion(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/settingstore/table.go
+++ b/internal/settingstore/table.go
@@ -31,30 +31,53 @@
 // table reads and writes versions in the platform's table and object store.
 type table struct {
 	platform platform.Platform
+	eras     *newestEra
 }
 
+func newTable(p platform.Platform) table { return table{platform: p, eras: &newestEra{}} }
+
 // storedRecord is a version as read from its row.
 type storedRecord struct {
 	Record
+	// era is the store's era at the read. rowVersion is the version of that era's row,
+	// zero if it does not exist; the record is then that of an earlier era's row.
+	era        platform.Era
 	rowVersion platform.RowVersion
-	// rowValue is the encoded content of the row.
+	// rowValue is the encoded content of the row, nil if there is no version.
 	rowValue []byte
 }
 
+// key returns the key of the row that a change of the version replaces.
+func (s *storedRecord) key() string { return platform.EraKey(rowKey, s.era) }
+
 func historyKey(v settings.Version) string { return fmt.Sprintf("%s%020d", historyPrefix, uint64(v)) }
 
 // current returns the current version with its text.
 func (t table) current(ctx context.Context) (storedRecord, error) {
-	row, err := t.platform.Get(ctx, rowKey)
+	row, err := t.platform.Get(ctx, platform.EraKey(rowKey, t.eras.get()))
+	if (err == nil || errors.Is(err, platform.ErrNotFound)) && row.Era > t.eras.get() {
+		t.eras.set(row.Era)
+		row, err = t.platform.Get(ctx, platform.EraKey(rowKey, row.Era))
+	}
+	era, version := row.Era, row.Version
+	for earlier := era; errors.Is(err, platform.ErrNotFound) && earlier > platform.FirstEra; {
+		earlier--
+		row, err = t.platform.Get(ctx, platform.EraKey(rowKey, earlier))
+	}
 	if err != nil {
 		return storedRecord{}, errors.Wrap(err, "read settings")
 	}
-	return t.load(ctx, row)
+	if row.Era != era {
+		return storedRecord{}, errors.Wrapf(platform.ErrUnavailable, "read settings: era %d, then %d", era, row.Era)
+	}
+	stored, err := t.load(ctx, row)
+	stored.era, stored.rowVersion = era, version
+	return stored, err
 }
 
 // load decodes a row and, if its tree is an object, reads the object.
 func (t table) load(ctx context.Context, row platform.Row) (storedRecord, error) {
-	stored := storedRecord{rowVersion: row.Version, rowValue: row.Value}
+	stored := storedRecord{era: row.Era, rowVersion: row.Version, rowValue: row.Value}
 	if err := json.Unmarshal(row.Value, &stored.Record); err != nil {
 		return storedRecord{}, errors.Wrapf(err, "decode %s", row.Key)
 	}
@@ -121,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	write := platform.Write{Key: rowKey, Value: value, Expect: old.rowVersion, WriteID: next.WriteID}
+	write := platform.Write{Key: old.key(), Value: value, Expect: old.rowVersion, WriteID: next.WriteID, Era: old.era}
 	_, err = t.platform.CompareAndSet(ctx, write)
 	if errors.Is(err, platform.ErrAmbiguous) {
 		err = t.resolve(ctx, old, next)
@@ -130,7 +153,7 @@
 	case err == nil:
 		t.prune(ctx, next.Version)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOtherEra):
 		return errRowChanged
 	case errors.Is(err, platform.ErrUnavailable):
 		return errors.Wrapf(ErrNotAccepted, "write settings: %v", err)
@@ -142,7 +165,7 @@
 // archive copies a version into the history before it is replaced. Versions are
 // immutable, so an existing copy is the same and counts as success.
 func (t table) archive(ctx context.Context, old storedRecord) error {
-	if old.rowVersion == 0 {
+	if old.rowValue == nil {
 		return nil
 	}
 	write := platform.Write{Key: historyKey(old.Version), Value: old.rowValue, WriteID: platform.WriteID(uuid.NewString())}
@@ -189,10 +212,16 @@
 // tryResolve makes one attempt to resolve a write. A nil error with done set means
 // that the write took effect.
 func (t table) tryResolve(ctx context.Context, old storedRecord, next Record) (done bool, err error) {
-	row, err := t.platform.Get(ctx, rowKey)
-	if errors.Is(err, platform.ErrNotFound) && old.rowVersion == 0 {
+	row, err := t.platform.Get(ctx, old.key())
+	if old.era != 0 && row.Era > old.era {
+		return true, errors.Wrapf(platform.ErrOtherEra, "write settings: era %d", row.Era)
+	}
+	if errors.Is(err, platform.ErrNotFound) && old.rowValue == nil {
 		return true, errors.Wrap(ErrNotAccepted, "the response to the write of the first version was lost and the row does not exist")
 	}
+	if errors.Is(err, platform.ErrNotFound) {
+		return t.refuseDelayed(ctx, old.key(), old.rowValue, 0)
+	}
 	if err != nil {
 		return false, nil
 	}
@@ -208,7 +237,13 @@
 	case current.Version > next.Version:
 		return t.resolveByHistory(ctx, next)
 	}
-	rewrite := platform.Write{Key: rowKey, Value: row.Value, Expect: row.Version, WriteID: platform.WriteID(uuid.NewString())}
+	return t.refuseDelayed(ctx, old.key(), row.Value, row.Version)
+}
+
+// refuseDelayed writes the row again with the same content, so that a delayed write of
+// the same version of the row fails.
+func (t table) refuseDelayed(ctx context.Context, key string, value []byte, expect platform.RowVersion) (done bool, err error) {
+	rewrite := platform.Write{Key: key, Value: value, Expect: expect, WriteID: platform.WriteID(uuid.NewString())}
 	if _, err := t.platform.CompareAndSet(ctx, rewrite); err != nil {
 		return false, nil
 	}
--- a/internal/settingstore/table_test.go
+++ b/internal/settingstore/table_test.go
@@ -13,12 +13,12 @@
 	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
-func newTable(t *testing.T) (table, *platformd.Server) {
+func startTable(t *testing.T) (table, *platformd.Server) {
 	t.Helper()
 	p, err := platformd.Start("127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(p.Stop)
-	tb := table{adapter.NewStore(p.Address(), nil)}
+	tb := newTable(adapter.NewStore(p.Address(), nil))
 	must.NoError(t, Seed(t.Context(), tb.platform, []byte("one")))
 	return tb, p
 }
@@ -35,7 +35,7 @@
 }
 
 func TestReplaceKeepsHistory(t *testing.T) {
-	tb, _ := newTable(t)
+	tb, _ := startTable(t)
 	must.NoError(t, tb.replace(t.Context(), current(t, tb), next(current(t, tb), "w2", "two")))
 	must.NoError(t, tb.replace(t.Context(), current(t, tb), next(current(t, tb), "w3", "three")))
 	list, err := tb.history(t.Context())
@@ -48,7 +48,7 @@
 }
 
 func TestReplaceReportsAChangedRow(t *testing.T) {
-	tb, _ := newTable(t)
+	tb, _ := startTable(t)
 	old := current(t, tb)
 	must.NoError(t, tb.replace(t.Context(), old, next(old, "first", "first")))
 	must.ErrorIs(t, tb.replace(t.Context(), old, next(old, "second", "second")), errRowChanged)
@@ -56,7 +56,7 @@
 }
 
 func TestLargeTreeBecomesAnObject(t *testing.T) {
-	tb, _ := newTable(t)
+	tb, _ := startTable(t)
 	text := strings.Repeat("x", maxInlineBytes+1)
 	must.NoError(t, tb.replace(t.Context(), current(t, tb), next(current(t, tb), "big", text)))
 	stored := current(t, tb)
@@ -66,7 +66,7 @@
 }
 
 func TestHistoryIsBounded(t *testing.T) {
-	tb, _ := newTable(t)
+	tb, _ := startTable(t)
 	for range maxVersions + 10 {
 		old := current(t, tb)
 		must.NoError(t, tb.replace(t.Context(), old, next(old, platform.WriteID(old.Version.String()), "x")))
@@ -77,7 +77,7 @@
 }
 
 func TestWriteWithLostResponseIsResolved(t *testing.T) {
-	tb, p := newTable(t)
+	tb, p := startTable(t)
 	p.SetFaults(platformd.Faults{DropWriteResponses: 1, DropWriteResponsesPrefix: rowKey})
 	must.NoError(t, tb.replace(t.Context(), current(t, tb), next(current(t, tb), "lost", "two")))
 	must.Eq(t, "two", current(t, tb).Tree)
@@ -102,9 +102,9 @@
 // Guards against a write that is delayed in the network, is resolved as not
 // successful, and then takes effect when it is delivered.
 func TestDelayedWriteFailsAfterItWasResolved(t *testing.T) {
-	tb, _ := newTable(t)
+	tb, _ := startTable(t)
 	delayed := &delayedWrite{Platform: tb.platform}
-	err := table{delayed}.replace(t.Context(), current(t, tb), next(current(t, tb), "late", "two"))
+	err := newTable(delayed).replace(t.Context(), current(t, tb), next(current(t, tb), "late", "two"))
 	must.ErrorIs(t, err, errRowChanged)
 	_, err = tb.platform.CompareAndSet(t.Context(), *delayed.pending)
 	must.ErrorIs(t, err, platform.ErrConflict)
@@ -113,11 +113,11 @@
 }
 
 func TestOutcomeOfUnresolvedWriteIsUnknown(t *testing.T) {
-	tb, p := newTable(t)
+	tb, p := startTable(t)
 	old := current(t, tb)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	err := table{&outageAfterWrite{Platform: tb.platform, standin: p}}.replace(ctx, old, next(old, "w", "two"))
+	err := newTable(&outageAfterWrite{Platform: tb.platform, standin: p}).replace(ctx, old, next(old, "w", "two"))
 	must.ErrorIs(t, err, ErrOutcomeUnknown)
 }
 
@@ -139,7 +139,7 @@
 }
 
 func TestReplaceIsNotAcceptedDuringAnOutage(t *testing.T) {
-	tb, p := newTable(t)
+	tb, p := startTable(t)
 	old := current(t, tb)
 	p.SetFaults(platformd.Faults{Down: true})
 	must.ErrorIs(t, tb.replace(t.Context(), old, next(old, "w", "two")), ErrNotAccepted)
