attest: the fleet row follows the daemons, also over a restored store

Seen: the fleet row never changed after its first write. Daemons that joined later were in no quorum, so that a fleet whose first daemons were replaced by others of other names would lose its attested permits and barriers.

Cause: the write expected that the row's version in the table is the number of writes of the row. Versions are those of the whole table, so each write but the first conflicted. Over a restored store the numbers of lost fleets would have been given out again, so that two fleets of one version could have quorums without a common daemon.

Change: the write expects the version that was read. Each era has a fleet row of its own; the first write of an era repeats the fleet under a number above all earlier ones, after more than half of it has answered that it knows no newer one.

Conclusion: a fleet that was changed twice within the lost seconds, and most of whose daemons restarted since, could still be taken for the one before.

--- a/internal/attest/attest.go
+++ b/internal/attest/attest.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,7 +75,8 @@
 	client     *rpc.Client
 	countRound func() // increments the metric of rounds
 	log        *zap.Logger
-	fleet      *spread.Map // holds the fleet row for the other daemons
+	fleet      *spread.Map   // holds the fleet row for the other daemons
+	era        atomic.Uint64 // newest era of the table
 
 	mu sync.Mutex
 	// witness records the newest versions that this daemon has seen. mu guards it.
@@ -107,6 +109,7 @@
 		log:        log.Named(string(ServiceName)),
 		witness:    ownership.NewWitness(),
 	}
+	table.OnEra(func(era platform.Era) { a.era.Store(uint64(era)) })
 	a.fleet = spread.NewMap(topicFleet, a.fleetItemChanged)
 	s.Add(a.fleet)
 	store.OnChange(func(assignment *ownership.Assignment) { a.Observe(assignment.Pool, assignment.Seq) })
@@ -297,19 +300,19 @@
 	if err != nil {
 		return err
 	}
-	era, err := a.readFleet(ctx)
+	stored, err := a.readFleet(ctx)
 	if err != nil {
 		return err
 	}
 	for _, row := range rows {
-		if row.Era != era {
-			return errors.Wrapf(platform.ErrOtherEra, "read assignments: era %d, then %d", row.Era, era)
+		if row.Era != stored.era {
+			return errors.Wrapf(platform.ErrOtherEra, "read assignments: era %d, then %d", row.Era, stored.era)
 		}
 		var assignment ownership.Assignment
 		if err := json.Unmarshal(row.Value, &assignment); err != nil {
 			return errors.Wrapf(err, "decode %s", row.Key)
 		}
-		if ownership.EraOf(assignment.Seq) != era {
+		if ownership.EraOf(assignment.Seq) != stored.era {
 			continue // the table may have lost later ones
 		}
 		a.store.Apply(&assignment)
@@ -317,7 +320,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.witness.MarkSynced(era)
+	a.witness.MarkSynced(stored.era)
 	return nil
 }
 
--- a/internal/attest/fleet.go
+++ b/internal/attest/fleet.go
@@ -48,22 +48,44 @@
 	a.spread.SchedulePush(topicFleet)
 }
 
-// readFleet reads the fleet row from the table and returns the table's era. A missing row
-// is no error.
-func (a *Attester) readFleet(ctx context.Context) (platform.Era, error) {
-	row, err := a.table.Get(ctx, fleetRow)
+// storedFleet is the fleet row as read from the table.
+type storedFleet struct {
+	era platform.Era // of the table at the read
+	// version is that of the era's row, zero if it does not exist; the fleet is then that
+	// of an earlier era's row, if there is one.
+	version platform.RowVersion
+	fleet   ownership.Fleet
+}
+
+// readFleet reads the fleet row from the table and records the fleet. A missing row is no
+// error.
+func (a *Attester) readFleet(ctx context.Context) (storedFleet, error) {
+	// The first answer may tell of a later era.
+	_, err := a.table.Get(ctx, fleetRow)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return storedFleet{}, err
+	}
+	era := platform.Era(a.era.Load())
+	row, err := a.table.Get(ctx, platform.EraKey(fleetRow, era))
+	stored := storedFleet{era: era, version: row.Version}
+	for earlier := era; errors.Is(err, platform.ErrNotFound) && earlier > platform.FirstEra; {
+		earlier--
+		row, err = a.table.Get(ctx, platform.EraKey(fleetRow, earlier))
+	}
+	if (err == nil || errors.Is(err, platform.ErrNotFound)) && row.Era != era {
+		return storedFleet{}, errors.Wrapf(platform.ErrOtherEra, "read fleet row: era %d, then %d", era, row.Era)
+	}
 	if errors.Is(err, platform.ErrNotFound) {
-		return row.Era, nil
+		return stored, nil
 	}
 	if err != nil {
-		return 0, err
+		return storedFleet{}, err
 	}
-	var fleet ownership.Fleet
-	if err := json.Unmarshal(row.Value, &fleet); err != nil {
-		return 0, errors.Wrap(err, "decode fleet row")
+	if err := json.Unmarshal(row.Value, &stored.fleet); err != nil {
+		return storedFleet{}, errors.Wrap(err, "decode fleet row")
 	}
-	a.observeFleet(fleet)
-	return row.Era, nil
+	a.observeFleet(stored.fleet)
+	return stored, nil
 }
 
 // fleetLoop writes the fleet row when the daemons in the instance list change. Only the
@@ -137,7 +159,37 @@
 	if next == nil {
 		return nil
 	}
-	return a.writeFleet(ctx, next)
+	stored, err := a.readFleet(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case stored.fleet.Version > current.Version:
+		return nil // recorded; the next check goes on from it
+	case stored.version == 0 && current.Version > 0:
+		return a.restoreFleet(ctx, stored, current)
+	case stored.fleet.Version < current.Version:
+		return errors.Errorf("fleet row has version %d, which is older than version %d", stored.fleet.Version, current.Version)
+	}
+	next.Version = max(next.Version, ownership.FleetVersion(platform.NextInEra(0, stored.era)))
+	return a.writeFleet(ctx, stored, next)
+}
+
+// restoreFleet writes the fleet again in an era of the table that has no fleet row, under a
+// version above all that the table may have lost. More than half of the fleet must know no
+// newer fleet.
+func (a *Attester) restoreFleet(ctx context.Context, stored storedFleet, current ownership.Fleet) error {
+	agreeing := map[model.DaemonID]bool{}
+	for _, s := range a.askFleet(ctx) {
+		if s.Fleet <= current.Version {
+			agreeing[s.Daemon] = true
+		}
+	}
+	if !current.Quorum(agreeing) {
+		return errors.Errorf("fleet version %d is not known to be the newest: %d daemons know no newer one", current.Version, len(agreeing))
+	}
+	current.Version = ownership.FleetVersion(platform.NextInEra(uint64(current.Version), stored.era))
+	return a.writeFleet(ctx, stored, &current)
 }
 
 // daemonsAtVersion returns the daemons that have seen the given version of the fleet row or a
@@ -152,18 +204,19 @@
 	return daemons
 }
 
-// writeFleet writes the fleet row if the table still holds the version before it: the row's
-// version in the table equals the fleet's version. After a conflict it reads the row instead.
-func (a *Attester) writeFleet(ctx context.Context, next *ownership.Fleet) error {
+// writeFleet writes the fleet row if the table still holds what was read. After a conflict
+// it reads the row instead.
+func (a *Attester) writeFleet(ctx context.Context, stored storedFleet, next *ownership.Fleet) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode fleet row")
 	}
 	_, err = platform.WriteAndConfirm(ctx, a.table, platform.Write{
-		Key:     fleetRow,
+		Key:     platform.EraKey(fleetRow, stored.era),
 		Value:   value,
-		Expect:  platform.RowVersion(next.Version - 1),
+		Expect:  stored.version,
 		WriteID: platform.WriteID(uuid.NewString()),
+		Era:     stored.era,
 	})
 	if errors.Is(err, platform.ErrConflict) {
 		_, err = a.readFleet(ctx)
