backends: retries don't exceed a server that hangs when full

Cause, from logs with a line per choice: beside load one slow sample made one server's service time three times the other's (9.7 against 2.6 ms), so its cost, empty, was above that of the other one with three times its slots (9.7 against 8.2 ms): all 24 went there. 16 were given up together after 100 ms, and the second attempt of all 16, their last one (MaxAttempts 2), went at once to the other server: 8 fit, 8 hung, and the last attempt is not given up before the deadline. In one run it was a single request: two choices read a load before either was counted. Class: what servers can take was known (slots, load) and used only as a cost, as if all servers queued; choosing and counting were two steps.

Change: a request counts at its server from the choice on (Reserve). A service of which a full server that answers others left a request unanswered counts as one that hangs when full, for 30 s; its requests go only to servers with room, wait for it for up to a third of their time (64 at most, looking every 10 ms), and are refused as queue_full then. Other services are not changed.

Not changed: one slow sample still moves a service time by a fifth of it.

--- a/internal/backends/backends.go
+++ b/internal/backends/backends.go
@@ -38,6 +38,7 @@
 	retryBudget *RetryBudget
 	stats       *Stats
 	limits      *attemptlimit.Limits
+	silent      silentServices
 	memory      *bytebudget.Budget // for bodies of responses
 	gate        *sendgate.Gate
 	gateMeters  gateMeters
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -18,6 +18,8 @@
 	Bytes int
 	// LatencyObjective is the time within which the response is wanted; zero if there is none.
 	LatencyObjective time.Duration
+	// WithRoom says that full servers are left out.
+	WithRoom bool
 }
 
 const (
@@ -37,6 +39,9 @@
 // Large transfers stay in the zone while a server there is in time.
 func choose(candidates []candidate, zone model.Zone, criteria *Criteria) *catalog.Server {
 	usable := withoutFailing(withoutEjected(candidates))
+	if criteria.WithRoom {
+		usable = withRoom(usable)
+	}
 	if len(usable) == 0 {
 		return nil
 	}
@@ -83,6 +88,17 @@
 	return usable
 }
 
+// withRoom returns the candidates that are not full.
+func withRoom(candidates []candidate) []candidate {
+	usable := make([]candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if c.expectedLoad < float64(c.server.Slots) {
+			usable = append(usable, c)
+		}
+	}
+	return usable
+}
+
 // consider returns the servers among which one is chosen for a request: all, or in a
 // large service two random parts of maxConsidered/2, one of the zone and one of all.
 // The cost of a choice so does not grow with the service.
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -37,10 +37,12 @@
 
 // Attempt is one send of a request to one server.
 type Attempt struct {
-	ID      model.RequestID
-	Server  *catalog.Server
-	Keyed   bool
-	Request *fasthttp.Request
+	ID     model.RequestID
+	Server *catalog.Server
+	// Reservation is that of Reserve; nil if the server is the owner of the request's key.
+	Reservation *Reservation
+	Keyed       bool
+	Request     *fasthttp.Request
 	// Deadline is the time by which the response is needed.
 	Deadline time.Time
 	// MayGiveUp says whether the attempt may still end when the server takes longer than
@@ -87,14 +89,13 @@
 // server's state from the result. The request is not sent, and the error is a HeldError,
 // if the server has said meanwhile that it leaves or wants no requests for a time.
 func (b *Backends) Send(ctx context.Context, a *Attempt) Result {
+	e := b.reservedEndpoint(a)
+	defer e.state.requestEnded()
 	if held := b.Held(a.Server, a.ID, time.Now()); held != nil {
 		return Result{Execution: NotRun, Err: held}
 	}
-	e := b.endpoint(a.Server)
 	started := time.Now()
 	b.dialect.WriteServerRequest(&a.Request.Header, time.Until(a.Deadline)-responseTransitTime, a.Server.ID)
-	e.state.requestStarted()
-	defer e.state.requestEnded()
 	response := fasthttp.AcquireResponse()
 	limited, release := b.limit(ctx, e, a)
 	defer release()
@@ -107,6 +108,16 @@
 	return result
 }
 
+// reservedEndpoint returns the endpoint of an attempt, which counts as a request there.
+func (b *Backends) reservedEndpoint(a *Attempt) *endpoint {
+	if a.Reservation != nil {
+		return a.Reservation.endpoint
+	}
+	e := b.endpoint(a.Server)
+	e.state.requestStarted()
+	return e
+}
+
 // limit returns the context of an attempt. It ends with ErrNoAnswer when the attempt
 // takes longer than the service's attempts do and may be given up.
 func (b *Backends) limit(ctx context.Context, e *endpoint, a *Attempt) (context.Context, func()) {
@@ -286,6 +297,7 @@
 	case e.state.answeredSince(now.Add(-r.Took)):
 		// The server is alive: it was too full to take the request, or the connection failed.
 		e.state.eject(now, silentEjection)
+		b.recordSilence(a, now)
 	default:
 		e.state.recordOutcome(true, now)
 		e.state.eject(now, noResponseEjection)
--- a/internal/backends/state.go
+++ b/internal/backends/state.go
@@ -46,6 +46,29 @@
 	s.sentSinceLoad++
 }
 
+// startRequest records that a request is being sent to the server, which has this number
+// of slots. hadRoom says whether the server had room for it. With onlyWithRoom, nothing is
+// recorded if it had none, and started is false.
+func (s *state) startRequest(slots int, onlyWithRoom bool, now time.Time) (hadRoom, started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hadRoom = s.expectedLoad(now) < float64(slots)
+	if onlyWithRoom && !hadRoom {
+		return false, false
+	}
+	s.inFlight++
+	s.sentSinceLoad++
+	return hadRoom, true
+}
+
+// cancelRequest takes back what startRequest recorded: the request was not sent.
+func (s *state) cancelRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	s.sentSinceLoad = max(s.sentSinceLoad-1, 0) // zero if a load was reported meanwhile
+}
+
 // requestEnded records that an attempt has ended.
 func (s *state) requestEnded() {
 	s.mu.Lock()
@@ -153,15 +176,23 @@
 	if now.Before(server.WarmUpUntil) {
 		c.serviceTime = time.Duration(float64(c.serviceTime) * warmUpFactor)
 	}
-	c.expectedLoad = float64(s.inFlight)
-	if !s.loadReportedAt.IsZero() {
-		weight := math.Exp(-now.Sub(s.loadReportedAt).Seconds() / loadDecayTime.Seconds())
-		reported := float64(s.load.Running + s.load.Waiting + s.sentSinceLoad)
-		c.expectedLoad = math.Max(c.expectedLoad, weight*reported+(1-weight)*c.expectedLoad)
-	}
+	c.expectedLoad = s.expectedLoad(now)
 	return c
 }
 
+// expectedLoad returns the estimated number of requests at the server: this daemon's own,
+// or what the server last reported and was sent since, which counts less as time passes.
+// The caller must hold s.mu.
+func (s *state) expectedLoad(now time.Time) float64 {
+	own := float64(s.inFlight)
+	if s.loadReportedAt.IsZero() {
+		return own
+	}
+	weight := math.Exp(-now.Sub(s.loadReportedAt).Seconds() / loadDecayTime.Seconds())
+	reported := float64(s.load.Running + s.load.Waiting + s.sentSinceLoad)
+	return math.Max(own, weight*reported+(1-weight)*own)
+}
+
 // delay returns the expected time until the response to a request that is sent now:
 // the service time plus the time in the server's queue.
 func (c candidate) delay() time.Duration {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -34,19 +34,22 @@
 		if refusal := c.checkSuspected(); refusal != nil {
 			return c.finalRefusal(refusal)
 		}
-		server, refusal := c.pickServer()
+		server, reserved, refusal := c.pickServer()
 		if refusal != nil {
 			return c.finalRefusal(refusal)
 		}
 		if time.Until(c.deadline) < minTimeLeft {
+			if reserved != nil {
+				reserved.Cancel()
+			}
 			return c.finalRefusal(reason.New(reason.DeadlinePassed, "send", string(server.ID), "no time is left"))
 		}
-		reservation, refusal := c.acquireSlot(server)
+		slot, refusal := c.acquireSlot(server)
 		if refusal != nil {
 			return c.finalRefusal(refusal)
 		}
-		result := c.send(server)
-		reservation.Release(runDuration(result))
+		result := c.send(server, reserved)
+		slot.Release(runDuration(result))
 		if result.Execution == backends.Ran && !c.hasRetryableStatus(result) {
 			c.clearSuspicion()
 			c.writeResponse(result.Response)
@@ -82,28 +85,20 @@
 }
 
 // pickServer returns the server for the next attempt: the owner of the request's
-// key or, if any server may run it, one chosen by load.
-func (c *call) pickServer() (*catalog.Server, *reason.Error) {
+// key or, if any server may run it, one reserved by load.
+func (c *call) pickServer() (*catalog.Server, *backends.Reservation, *reason.Error) {
 	if cause := context.Cause(c.context); cause != nil {
-		return nil, c.contextRefusal(cause)
+		return nil, nil, c.contextRefusal(cause)
 	}
 	if c.requiresOwner() {
-		return c.awaitOwner()
+		owner, refusal := c.awaitOwner()
+		return owner, nil, refusal
 	}
-	snapshot := c.gateway.catalog.Load()
-	server := c.gateway.backends.Choose(snapshot, &backends.Criteria{
-		Service:          c.service,
-		Tried:            c.tried,
-		Bytes:            len(c.body),
-		LatencyObjective: c.route.LatencyObjective,
-	})
-	if server == nil {
-		if held := c.gateway.backends.HeldService(snapshot, c.service, c.headers.ID, time.Now()); held != nil {
-			return nil, c.heldRefusal("choose", held)
-		}
-		return nil, reason.New(reason.ServerUnreachable, "choose", string(c.service), "no server is left that was not tried")
+	reserved, refusal := c.chooseServer()
+	if refusal != nil {
+		return nil, nil, refusal
 	}
-	return server, nil
+	return reserved.Server, reserved, nil
 }
 
 // requiresOwner reports whether only the owner of the request's key may run it.
@@ -210,8 +205,9 @@
 	return server
 }
 
-// send sends the request to a server once.
-func (c *call) send(server *catalog.Server) backends.Result {
+// send sends the request to a server once. reserved is nil if the server is the owner of
+// the request's key.
+func (c *call) send(server *catalog.Server, reserved *backends.Reservation) backends.Result {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	c.ctx.Request.Header.CopyTo(&request.Header)
@@ -229,6 +225,7 @@
 	return c.gateway.backends.Send(c.context, &backends.Attempt{
 		ID:               c.headers.ID,
 		Server:           server,
+		Reservation:      reserved,
 		Keyed:            c.keyed,
 		Request:          request,
 		Deadline:         c.deadline,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	bodyBytes     atomic.Int64 // bytes of request bodies in memory
 	maxBodyBytes  int64
 	activeCalls   atomic.Int64 // requests in progress
+	roomWaiters   atomic.Int64 // of these, those that wait for a server with room
 	started       time.Time
 	ready         atomic.Bool
 	draining      atomic.Bool
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -9,18 +9,20 @@
 
 // meters holds the gateway's counters and histograms.
 type meters struct {
-	registry *metrics.Registry
-	answered *metrics.Histogram // duration of requests that a server answered, in seconds
-	refused  *metrics.Histogram // duration of refused requests, in seconds
-	retries  *metrics.Counter   // sends of a request after its first one
+	registry  *metrics.Registry
+	answered  *metrics.Histogram // duration of requests that a server answered, in seconds
+	refused   *metrics.Histogram // duration of refused requests, in seconds
+	retries   *metrics.Counter   // sends of a request after its first one
+	roomWaits *metrics.Counter   // requests that waited for a server with room
 }
 
 func newMeters(r *metrics.Registry) meters {
 	return meters{
-		registry: r,
-		answered: r.Histogram(`request_seconds{outcome="answered"}`),
-		refused:  r.Histogram(`request_seconds{outcome="refused"}`),
-		retries:  r.Counter(`repeated_sends_total`),
+		registry:  r,
+		answered:  r.Histogram(`request_seconds{outcome="answered"}`),
+		refused:   r.Histogram(`request_seconds{outcome="refused"}`),
+		retries:   r.Counter(`repeated_sends_total`),
+		roomWaits: r.Counter(`room_waits_total`),
 	}
 }
 
