--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	bodyBytes     atomic.Int64 // bytes of request bodies in memory
 	maxBodyBytes  int64
 	activeCalls   atomic.Int64 // requests in progress
+	roomWaiters   atomic.Int64 // of these, those that wait for a server with room
 	shutdown      config.Shutdown
 	started       time.Time
 	ready         atomic.Bool
