--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -53,50 +52,6 @@
 	Fenced *Fenced `json:"fenced,omitempty"`
 }
 
-// Fenced holds the configuration of a daemon of a fenced fleet.
-type Fenced struct {
-	// ReadinessAddress serves the readiness checks of the load balancer in front of
-	// the daemon; MetricsAddress serves counters and histograms. Each is ip:port;
-	// MetricsAddress may be empty.
-	ReadinessAddress string `json:"readiness_address"`
-	MetricsAddress   string `json:"metrics_address,omitempty"`
-	// MemoryMB is the memory limit of the process, in mebibytes.
-	MemoryMB float64 `json:"memory_mb"`
-	// Cores is the number of processor cores that the process may use, which may be
-	// a fraction. Daemons with more cores take on more of the fleet's work.
-	Cores float64 `json:"cores"`
-	// GraceSeconds is the time from SIGTERM until the process is killed.
-	GraceSeconds float64 `json:"grace_seconds"`
-	// RepeatShare bounds the retries to a service as a fraction of the first
-	// attempts, over the whole fleet. RepeatExtra is the number of retries by which
-	// a burst may exceed that share, perhaps a fraction.
-	// They default to DefaultRepeatShare and DefaultRepeatExtra.
-	RepeatShare float64 `json:"repeat_share"`
-	RepeatExtra float64 `json:"repeat_extra"`
-	// MaxHoldSeconds bounds the time for which a server may own keys without
-	// renewal of its grant. It defaults to DefaultMaxHoldSeconds.
-	MaxHoldSeconds float64 `json:"max_hold_seconds"`
-	// DrainSeconds is the time after which a server that is known to be leaving must get
-	// no more requests. It defaults to DefaultDrainSeconds.
-	DrainSeconds float64 `json:"drain_seconds"`
-	// ReportSeconds is the time between two reports of a server to the store. It defaults
-	// to DefaultReportSeconds.
-	ReportSeconds float64 `json:"report_seconds"`
-}
-
-// ReportPeriod returns ReportSeconds as a duration.
-func (f *Fenced) ReportPeriod() time.Duration {
-	return time.Duration(f.ReportSeconds * float64(time.Second))
-}
-
-// DrainPeriod returns DrainSeconds as a duration.
-func (f *Fenced) DrainPeriod() time.Duration {
-	return time.Duration(f.DrainSeconds * float64(time.Second))
-}
-
-// MemoryBytes returns MemoryMB in bytes.
-func (f *Fenced) MemoryBytes() int64 { return int64(f.MemoryMB * (1 << 20)) }
-
 // Embedded describes the simulated parts of a trial installation.
 type Embedded struct {
 	// SettingsFile is the file with the settings tree to accept at the start. Like
@@ -235,7 +190,7 @@
 	return err
 }
 
-// namedAddress is an address to listen on. name is the path of its setting in the
+// namedAddress is an address in the configuration. name is the path of its setting in the
 // configuration file, its keys joined by dots.
 type namedAddress struct {
 	name    string
@@ -318,42 +273,6 @@
 	}
 }
 
-func (c *Config) checkFenced(report func(path, format string, args ...any)) {
-	f := c.Fenced
-	if f == nil {
-		return
-	}
-	if f.MetricsAddress != "" {
-		if problem := addressProblem(f.MetricsAddress); problem != "" {
-			report("fenced.metrics_address", "%s", problem)
-		}
-	}
-	if f.MemoryMB < 1 {
-		report("fenced.memory_mb", "found %v, want 1 or more", f.MemoryMB)
-	}
-	if f.Cores <= 0 {
-		report("fenced.cores", "found %v, want more than 0", f.Cores)
-	}
-	if f.GraceSeconds < minGraceSeconds {
-		report("fenced.grace_seconds", "found %v, want %d or more", f.GraceSeconds, minGraceSeconds)
-	}
-	if f.RepeatShare < 0 {
-		report("fenced.repeat_share", "found %v, want 0 or more", f.RepeatShare)
-	}
-	if f.RepeatExtra < 0 {
-		report("fenced.repeat_extra", "found %v, want 0 or more", f.RepeatExtra)
-	}
-	if f.MaxHoldSeconds <= 0 {
-		report("fenced.max_hold_seconds", "found %v, want more than 0", f.MaxHoldSeconds)
-	}
-	if f.DrainSeconds < 0 {
-		report("fenced.drain_seconds", "found %v, want 0 or more", f.DrainSeconds)
-	}
-	if f.ReportSeconds < 0 {
-		report("fenced.report_seconds", "found %v, want 0 or more", f.ReportSeconds)
-	}
-}
-
 func (c *Config) checkFiles(report func(path, format string, args ...any)) {
 	for _, named := range c.files() {
 		if *named.file == "" {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -156,7 +156,7 @@
 
 // Self returns this daemon's record.
 func (f *Follower) Self() Daemon {
-	return Daemon{Name: f.config.Name, Incarnation: f.incarnation, Zone: f.config.Zone, Control: f.config.ControlAddress, Cores: f.config.Fenced.Cores}
+	return Daemon{Name: f.config.Name, Incarnation: f.incarnation, Zone: f.config.Zone, Control: f.config.AdvertisedControl(), Cores: f.config.Fenced.Cores}
 }
 
 // Daemons returns the registered daemons, and this one in any case.
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -44,7 +44,7 @@
 func (f *Follower) pollOneSeed(ctx context.Context) {
 	for _, i := range rand.Perm(len(f.config.Seeds)) {
 		seed := f.config.Seeds[i]
-		if seed == f.config.ControlAddress || ctx.Err() != nil {
+		if seed == f.config.AdvertisedControl() || ctx.Err() != nil {
 			continue
 		}
 		if _, err := f.poll(ctx, seed, 0); err == nil {
