cli: report plots the requests by outcome with faults marked

Figures of experiments may have such marks too. Logs with gaps of years need no point for each second between.

--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -13,9 +13,10 @@
 )
 
 // reportCommand prints a table of the requests in log files by outcome, one row for each
-// second, with the faults and changes that the daemons noticed in it.
+// second, with the faults and changes that the daemons noticed in it. It can also plot them.
 type reportCommand struct {
 	global *Global
+	Plot   string `long:"plot" value-name:"FILE" description:"write a plot as .svg or .png"`
 	Args   struct {
 		Files []string `positional-arg-name:"LOGFILE" required:"1"`
 	} `positional-args:"yes" required:"yes"`
@@ -57,7 +58,13 @@
 			countLine(rows, &lines[i])
 		}
 	}
-	return c.print(inOrder(rows))
+	list := inOrder(rows)
+	if c.Plot != "" {
+		if err := plotRequests(list, c.Plot); err != nil {
+			return errors.Wrap(err, "report")
+		}
+	}
+	return c.print(list)
 }
 
 // isReported reports whether a line is counted or shown.
--- a/internal/cli/report_test.go
+++ b/internal/cli/report_test.go
@@ -23,8 +23,12 @@
 `
 
 func report(t *testing.T, args ...string) string {
+	return reportOf(t, reportedLog, args...)
+}
+
+func reportOf(t *testing.T, log string, args ...string) string {
 	file := filepath.Join(t.TempDir(), "d1.log")
-	must.NoError(t, os.WriteFile(file, []byte(reportedLog), 0o600))
+	must.NoError(t, os.WriteFile(file, []byte(log), 0o600))
 	var out, errs bytes.Buffer
 	must.Eq(t, cli.ExitOK, cli.Main(append([]string{"report", file}, args...), &out, &errs), must.Sprint(errs.String()))
 	return out.String()
@@ -49,3 +53,28 @@
 	must.StrContains(t, text, "07:24:13")
 	must.StrContains(t, text, "polls of the store fail (2 times)")
 }
+
+func TestReportPlotsRequestsByOutcomeWithFaultsMarked(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "day.svg")
+	report(t, "--plot", file)
+	plot, err := os.ReadFile(file)
+	must.NoError(t, err)
+	for _, text := range []string{"served", "failed", "not run", "unknown", "polls of the store fail (2 times)"} {
+		must.StrContains(t, string(plot), text)
+	}
+}
+
+// Rows that are years apart must not need a point for each second between them.
+func TestReportPlotsLogsWithGaps(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "day.svg")
+	reportOf(t, `{"ts":"1970-01-01T00:00:01Z","msg":"request answered","daemon":"d1","status":200}`+"\n"+reportedLog, "--plot", file)
+	info, err := os.Stat(file)
+	must.NoError(t, err)
+	must.Less(t, 1<<20, info.Size())
+}
+
+func TestReportWithoutRequestsIsPlotted(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "day.svg")
+	reportOf(t, "", "--plot", file)
+	must.FileExists(t, file)
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -127,6 +127,13 @@
 	X      string `json:"x"`
 	Y      string `json:"y"`
 	Series []Line `json:"series"`
+	Marks  []Mark `json:"marks,omitempty"`
+}
+
+// Mark is a vertical line in a figure, with a text beside it.
+type Mark struct {
+	X    float64 `json:"x"`
+	Text string  `json:"text"`
 }
 
 // Line is one named line of a figure; X and Y have the same length.
