soak: faults of the connections between daemons

What daemons ask each other (polls for changes, status, requests to step down, load reports) was disturbed only by pauses and ends of processes. Each daemon now advertises a link as its control address: peer-link-delay, -reset, -cut-up, -cut-down, -silence and -trickle affect the connections of all other daemons to one daemon. While its process has ended, the link refuses, as its own address did: by that the next keeper knows that the former one has ended. These faults excuse no grants; they excuse the daemon itself, as those of its other links do.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -118,6 +118,7 @@
 		}
 		d.toStore.close()
 		d.toCallers.close()
+		d.toPeers.close()
 	}
 	for _, s := range f.slots {
 		s.stop()
@@ -183,7 +184,7 @@
 func (f *Fleet) controlAddresses() []string {
 	var addresses []string
 	for _, d := range f.daemons {
-		addresses = append(addresses, d.config.ControlAddress)
+		addresses = append(addresses, d.config.AdvertisedControl())
 	}
 	return addresses
 }
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -16,8 +16,12 @@
 // kindPause stops a daemon for a time.
 const kindPause Kind = "pause"
 
-// serverLinkPrefix begins the kinds of faults of the connections to a server.
-const serverLinkPrefix = "server-link"
+// Beginnings of the kinds of faults of the connections to a server, and from other daemons
+// to a daemon.
+const (
+	serverLinkPrefix = "server-link"
+	peerLinkPrefix   = "peer-link"
+)
 
 // targetClass is what a kind of fault affects.
 type targetClass string
@@ -129,17 +133,19 @@
 }
 
 // addLinkKinds adds the faults of the connections from a daemon to the store, from all
-// daemons to a server and from the callers to a daemon.
+// daemons to a server, from the callers to a daemon and from other daemons to a daemon.
+// Faults of the last ones hold up no grants.
 func addLinkKinds() {
 	add := func(name string, mode LinkMode, class targetClass, link func(*Fleet, string) *Link) {
 		kinds[Kind(name+"-"+string(mode))] = kindInfo{
-			class: class, shortest: brief, longest: long, delaysGrants: true,
+			class: class, shortest: brief, longest: long, delaysGrants: name != peerLinkPrefix,
 			begin: func(f *Fleet, target string) (endFunc, error) { return link(f, target).impair(mode), nil },
 		}
 	}
 	for _, mode := range linkModes {
 		add("store-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toStore })
 		add("caller-link", mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toCallers })
+		add(peerLinkPrefix, mode, classDaemon, func(f *Fleet, target string) *Link { return f.daemon(target).toPeers })
 		add(serverLinkPrefix, mode, classServer, func(f *Fleet, target string) *Link { return f.slot(target).currentLink() })
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -39,6 +39,7 @@
 	config    config.Config
 	toStore   *Link
 	toCallers *Link
+	toPeers   *Link                                       // by which other daemons reach it
 	ended     func(daemon string, state *os.ProcessState) // called when a process ends by itself
 
 	mu          sync.Mutex
@@ -69,6 +70,10 @@
 	if d.toCallers, err = newLink(f.ports.next(), d.config.CallerAddress); err != nil {
 		return nil, err
 	}
+	if d.toPeers, err = newLink(f.ports.next(), d.config.ControlAddress); err != nil {
+		return nil, err
+	}
+	d.config.Fenced.AdvertisedControlAddress = d.toPeers.address
 	return d, d.writeSettings()
 }
 
@@ -104,7 +109,7 @@
 	d.process, d.exited, d.stopping = process, make(chan struct{}), false
 	d.incarnation++
 	go d.wait(process, d.exited, log)
-	return nil
+	return d.toPeers.connect(d.config.ControlAddress)
 }
 
 // wait waits for the end of a process, which is reported unless the soak ended it.
@@ -114,6 +119,7 @@
 	d.mu.Lock()
 	expected := d.stopping
 	d.process = nil
+	d.toPeers.disconnect() // other daemons are refused, by which they know that it has ended
 	d.mu.Unlock()
 	close(exited)
 	if !expected {
