soak: check of the retry budget

No check saw retries beyond the budget. The load's, probes' and service checks' requests count. The soak's daemons have RepeatExtra 20 instead of 100, so that a run's few requests can exceed it.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -90,6 +91,7 @@
 	}
 	o.Daemon = c.daemon.name
 	o.Incarnation, _ = c.daemon.current()
+	c.monitor.Requested(requestedService(req), time.Now())
 	err := exchange(c.conn, c.reader, req, resp, &o)
 	o.Ended = time.Now()
 	if err != nil {
@@ -133,7 +135,7 @@
 	deadline := randomDuration(c.rng, minDeadline, maxDeadline)
 	switch kind := c.rng.Float64(); {
 	case kind < readShare:
-		fillRequest(req, fasthttp.MethodGet, "/read/x?"+id+filler, id, deadline)
+		fillRequest(req, fasthttp.MethodGet, readPrefix+"x?"+id+filler, id, deadline)
 		req.Header.Set(headerKey, strconv.Itoa(c.rng.IntN(keyCount)))
 		return false
 	case kind < readShare+sealShare:
@@ -146,6 +148,14 @@
 	return true
 }
 
+// requestedService returns the service that the configuration's route of a request leads to.
+func requestedService(req *fasthttp.Request) string {
+	if bytes.HasPrefix(req.RequestURI(), []byte(readPrefix)) {
+		return keyedService
+	}
+	return plainService
+}
+
 func fillRequest(req *fasthttp.Request, method, path, id string, deadline time.Duration) {
 	req.Header.SetMethod(method)
 	req.SetRequestURI(path)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,6 +25,7 @@
 	routeHost    = "soak.example"
 	keyedService = "drafts"
 	plainService = "sealing"
+	readPrefix   = "/read/" // of the paths that lead to keyedService
 )
 
 // Fleet is a set of daemon processes with a simulated store and simulated servers, and
@@ -237,7 +238,7 @@
 		},
 		Limits: limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutS: 3, IdleTimeoutS: 15},
 		VirtualHosts: []virtualHost{{Host: routeHost, Paths: []route{
-			newRoute("read", "/read/", "safe", keyedService),
+			newRoute("read", readPrefix, "safe", keyedService),
 			newRoute("seal", "/seal/", "unsafe", plainService),
 			newRoute("plan", "/plan/", "upload", plainService),
 			newRoute("probe", probePrefix(f.version), "safe", plainService),
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -59,6 +59,7 @@
 	begun      []Mark
 	outcomes   []Outcome
 	arrivals   []serverArrival
+	requested  map[string][]time.Time // when requests to each service were sent
 	broken     []BrokenPromise
 	reported   map[string]bool
 	excused    int // violations that a fault excuses
@@ -76,7 +77,7 @@
 
 // NewMonitor returns a monitor of a run that starts now.
 func NewMonitor() *Monitor {
-	return &Monitor{started: time.Now(), reported: map[string]bool{}, departures: map[string]departure{}}
+	return &Monitor{started: time.Now(), reported: map[string]bool{}, departures: map[string]departure{}, requested: map[string][]time.Time{}}
 }
 
 // Begin records the start of a fault. The returned function records its end.
--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -136,7 +136,7 @@
 // millisecond, unless the server asks for a pause.
 func (m *Monitor) passOn(id string, sent time.Time, a fenced.Arrival) {
 	a.ID, a.Arrived, a.Answered = id, sent, sent
-	m.Reached("s0-1", a)
+	m.Reached("s0-1", plainService, a)
 	o := served("d0", "s0-1", sent)
 	o.ID, o.Incarnation, o.Ended = id, 1, sent.Add(time.Millisecond)
 	if a.Pause > 0 {
@@ -175,9 +175,9 @@
 	m := startedMonitor()
 	told := time.Now().Add(-time.Minute)
 	m.passOn("r1", told, fenced.Arrival{Status: fasthttp.StatusOK, Leaving: true})
-	m.Reached("s0-1", fenced.Arrival{ID: "r2", Arrived: told.Add(10 * time.Second)})
+	m.Reached("s0-1", plainService, fenced.Arrival{ID: "r2", Arrived: told.Add(10 * time.Second)})
 	m.Observe(Outcome{ID: "r2", Daemon: "d1", Incarnation: 1, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
-	m.Reached("s0-1", fenced.Arrival{ID: "r3", Arrived: told.Add(10 * time.Second)})
+	m.Reached("s0-1", plainService, fenced.Arrival{ID: "r3", Arrived: told.Add(10 * time.Second)})
 	m.Observe(Outcome{ID: "r3", Daemon: "d0", Incarnation: 2, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
 	m.CheckSigns()
 	must.SliceEmpty(t, m.promises())
--- a/soak/probes.go
+++ b/soak/probes.go
@@ -76,6 +76,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	o := Outcome{ID: fmt.Sprintf("%s-probe-%d", p.daemon.name, p.probes), Daemon: p.daemon.name, Incarnation: incarnation}
 	fillRequest(req, fasthttp.MethodGet, probePrefix(version), o.ID, maxDeadline)
+	p.monitor.Requested(plainService, time.Now())
 	if err := exchange(conn, reader, req, resp, &o); err != nil {
 		return false, err
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -23,7 +23,7 @@
 	memoryMB       = 200
 	graceSeconds   = 6
 	retryShare     = 0.2
-	retryExtra     = 100
+	retryExtra     = 20
 	maxHoldSeconds = 10
 	reportSeconds  = 0.8 // between two reports of a server
 )
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,6 +64,7 @@
 	watching.Wait()
 	f.monitor.CheckRuns(f, true)
 	f.monitor.CheckSigns()
+	f.monitor.CheckRetryBudget()
 	if err == nil {
 		err = ctx.Err()
 	}
@@ -164,12 +165,16 @@
 	checks := []func() error{
 		func() error { return get("http://"+d.config.Fenced.ReadinessAddress+"/-/readyz", -1) },
 		func() error {
+			f.monitor.Requested(plainService, time.Now())
 			return get("http://"+d.config.CallerAddress+probePrefix(f.monitor.newestVersion()), -1)
 		},
 	}
 	for i := range sampledKeys {
 		key := i * keyCount / sampledKeys
-		checks = append(checks, func() error { return get("http://"+d.config.CallerAddress+"/read/x", key) })
+		checks = append(checks, func() error {
+			f.monitor.Requested(keyedService, time.Now())
+			return get("http://"+d.config.CallerAddress+readPrefix+"x", key)
+		})
 	}
 	return checks
 }
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -63,7 +63,7 @@
 		ID: id, Service: service, Zone: fmt.Sprintf("zone-%d", len(s.all)%zones),
 		Address: anyAddress, Slots: serverSlots, ServiceTime: serviceTime, Keyed: s.keyed,
 		Store: s.fleet.registry, Ledger: s.fleet.ledger,
-		Reached: func(a fenced.Arrival) { s.fleet.monitor.Reached(id, a) },
+		Reached: func(a fenced.Arrival) { s.fleet.monitor.Reached(id, service, a) },
 	})
 	if err != nil {
 		return errors.Wrapf(err, "start server of %s", s.name)
--- a/soak/signs.go
+++ b/soak/signs.go
@@ -19,14 +19,15 @@
 // serverArrival is a request that reached a server.
 type serverArrival struct {
 	fenced.Arrival
-	server string
+	server  string
+	service string
 }
 
 // Reached records a request that reached a server.
-func (m *Monitor) Reached(server string, a fenced.Arrival) {
+func (m *Monitor) Reached(server, service string, a fenced.Arrival) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.arrivals = append(m.arrivals, serverArrival{a, server})
+	m.arrivals = append(m.arrivals, serverArrival{a, server, service})
 }
 
 // path is one process of a daemon and one of a server.
