soak: check of requests that daemons without faults lose

'aborted' sees requests that maintenance alone ends without an answer. Nothing saw a daemon without faults that closes a caller's connection after it has passed the request on to a server without faults, beside faults elsewhere. More than three such requests in a run now break 'lost'.

--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -216,3 +216,30 @@
 		})
 	}
 }
+
+func TestLostRequestsAreReported(t *testing.T) {
+	m := startedMonitor()
+	lose := func(id, daemon, server string, reached bool) {
+		o := Outcome{ID: id, Daemon: daemon, Sent: time.Now(), Ended: time.Now(), Result: Closed}
+		if reached {
+			m.Reached(server, plainService, fenced.Arrival{ID: id, Arrived: o.Sent, Answered: o.Ended})
+		}
+		m.Observe(o)
+	}
+	m.Begin(Event{Kind: "caller-link-reset", Target: "d1"})()
+	m.Begin(Event{Kind: "server-crash", Target: "s1"})()
+	m.Begin(Event{Kind: "store-down"})()
+	for i := range 10 {
+		lose(fmt.Sprintf("a%d", i), "d1", "s0-0", true)
+		lose(fmt.Sprintf("b%d", i), "d0", "s1-0", true)
+		lose(fmt.Sprintf("c%d", i), "d0", "s0-0", false)
+	}
+	for i := range lostExcess {
+		lose(fmt.Sprintf("d%d", i), "d0", "s0-0", true)
+	}
+	m.CheckLost()
+	must.SliceEmpty(t, m.promises())
+	lose("e", "d0", "s0-0", true)
+	m.CheckLost()
+	must.Eq(t, []string{"lost", "lost", "lost", "lost"}, m.promises())
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -65,6 +65,7 @@
 	f.monitor.CheckRuns(f, true)
 	f.monitor.CheckSigns()
 	f.monitor.CheckRetryBudget()
+	f.monitor.CheckLost()
 	if err == nil {
 		err = ctx.Err()
 	}
