--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,6 +25,7 @@
 	routeHost    = "soak.example"
 	keyedService = "drafts"
 	plainService = "sealing"
+	readPrefix   = "/read/" // of the paths that lead to keyedService
 )
 
 // Fleet is a set of daemon processes with a simulated store and simulated servers, and
@@ -118,6 +119,7 @@
 		}
 		d.toStore.close()
 		d.toCallers.close()
+		d.toPeers.close()
 	}
 	for _, s := range f.slots {
 		s.stop()
@@ -183,7 +185,7 @@
 func (f *Fleet) controlAddresses() []string {
 	var addresses []string
 	for _, d := range f.daemons {
-		addresses = append(addresses, d.config.ControlAddress)
+		addresses = append(addresses, d.config.AdvertisedControl())
 	}
 	return addresses
 }
@@ -236,7 +238,7 @@
 		},
 		Limits: limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutS: 3, IdleTimeoutS: 15},
 		VirtualHosts: []virtualHost{{Host: routeHost, Paths: []route{
-			newRoute("read", "/read/", "safe", keyedService),
+			newRoute("read", readPrefix, "safe", keyedService),
 			newRoute("seal", "/seal/", "unsafe", plainService),
 			newRoute("plan", "/plan/", "upload", plainService),
 			newRoute("probe", probePrefix(f.version), "safe", plainService),
--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -136,7 +136,7 @@
 // millisecond, unless the server asks for a pause.
 func (m *Monitor) passOn(id string, sent time.Time, a fenced.Arrival) {
 	a.ID, a.Arrived, a.Answered = id, sent, sent
-	m.Reached("s0-1", a)
+	m.Reached("s0-1", plainService, a)
 	o := served("d0", "s0-1", sent)
 	o.ID, o.Incarnation, o.Ended = id, 1, sent.Add(time.Millisecond)
 	if a.Pause > 0 {
@@ -175,9 +175,9 @@
 	m := startedMonitor()
 	told := time.Now().Add(-time.Minute)
 	m.passOn("r1", told, fenced.Arrival{Status: fasthttp.StatusOK, Leaving: true})
-	m.Reached("s0-1", fenced.Arrival{ID: "r2", Arrived: told.Add(10 * time.Second)})
+	m.Reached("s0-1", plainService, fenced.Arrival{ID: "r2", Arrived: told.Add(10 * time.Second)})
 	m.Observe(Outcome{ID: "r2", Daemon: "d1", Incarnation: 1, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
-	m.Reached("s0-1", fenced.Arrival{ID: "r3", Arrived: told.Add(10 * time.Second)})
+	m.Reached("s0-1", plainService, fenced.Arrival{ID: "r3", Arrived: told.Add(10 * time.Second)})
 	m.Observe(Outcome{ID: "r3", Daemon: "d0", Incarnation: 2, Sent: told.Add(10 * time.Second), Ended: told.Add(10 * time.Second)})
 	m.CheckSigns()
 	must.SliceEmpty(t, m.promises())
@@ -216,3 +216,30 @@
 		})
 	}
 }
+
+func TestLostRequestsAreReported(t *testing.T) {
+	m := startedMonitor()
+	lose := func(id, daemon, server string, reached bool) {
+		o := Outcome{ID: id, Daemon: daemon, Sent: time.Now(), Ended: time.Now(), Result: Closed}
+		if reached {
+			m.Reached(server, plainService, fenced.Arrival{ID: id, Arrived: o.Sent, Answered: o.Ended})
+		}
+		m.Observe(o)
+	}
+	m.Begin(Event{Kind: "caller-link-reset", Target: "d1"})()
+	m.Begin(Event{Kind: "server-crash", Target: "s1"})()
+	m.Begin(Event{Kind: "store-down"})()
+	for i := range 10 {
+		lose(fmt.Sprintf("a%d", i), "d1", "s0-0", true)
+		lose(fmt.Sprintf("b%d", i), "d0", "s1-0", true)
+		lose(fmt.Sprintf("c%d", i), "d0", "s0-0", false)
+	}
+	for i := range lostExcess {
+		lose(fmt.Sprintf("d%d", i), "d0", "s0-0", true)
+	}
+	m.CheckLost()
+	must.SliceEmpty(t, m.promises())
+	lose("e", "d0", "s0-0", true)
+	m.CheckLost()
+	must.Eq(t, []string{"lost", "lost", "lost", "lost"}, m.promises())
+}
