--- a/internal/daemon/fenced_restore_test.go
+++ b/internal/daemon/fenced_restore_test.go
@@ -48,6 +48,42 @@
 	c.checkOwnership()
 }
 
+// Versions order configurations, also over a restore: one below the version in force is not
+// taken, although the store that has lost that version has it as its newest, and one above
+// it is.
+func TestLowerVersionAfterARestoreTakesNothingBack(t *testing.T) {
+	c := newCluster(t, 2, 1, 1)
+	const age = 2 * time.Second
+	time.Sleep(age)
+	awaitStatus := func(path string, status int) {
+		for _, d := range c.daemons {
+			c.await(path, func() error {
+				if resp := c.send(d, "GET", path, -1, ""); resp.status != status {
+					return fmt.Errorf("status %d, want %d", resp.status, status)
+				}
+				return nil
+			})
+		}
+	}
+	c.version += 2
+	c.configure(append(defaultRoutes[:3:3], route{"/lost/", "safe", "sealing", 2}))
+	awaitStatus("/lost/x", 200)
+	c.store.Restore(age)
+	lost := c.version
+	c.version = lost - 4 // configure adds two: above the copy's version, below the lost one
+	c.configure(defaultRoutes)
+	for range 20 {
+		time.Sleep(rewriteDelay / 10)
+		for _, d := range c.daemons {
+			must.Eq(t, 200, c.send(d, "GET", "/lost/x", -1, "").status)
+		}
+	}
+	c.version = lost
+	c.configure(append(defaultRoutes[:3:3], route{"/later/", "safe", "sealing", 2}))
+	awaitStatus("/later/x", 200)
+	awaitStatus("/lost/x", 404)
+}
+
 // moveKeysAway makes a keyed server leave and waits until it owns no keys, so that the
 // latest owners record differs from those that an older copy of the store has.
 func (c *cluster) moveKeysAway(s *fenced.Server) {
