daemon: tests of requests in progress wait until their server has them

TestRequestInProgressOutlivesChanges/its_server_is_deregistered failed once beside a load average of 30 on 8 processors: 503 server_unreachable, step choose, not_run. The request had not reached its server when that was deregistered, 0.1 s after the send: it was not in progress. Change: the tests wait for the arrival at the server instead of 0.1 s; what they assert is unchanged.

--- a/internal/daemon/fenced_grace_test.go
+++ b/internal/daemon/fenced_grace_test.go
@@ -35,13 +35,14 @@
 // With a grace period of 2 s, a request was cut off 1.3 s after SIGTERM, when its server still
 // had time to answer it.
 func TestRequestInProgressLastsUntilTheEndOfShortGracePeriod(t *testing.T) {
-	const left = 150 * time.Millisecond // of the grace period's first five sixths, when the server answers
+	const left = 100 * time.Millisecond // of the grace period's first five sixths, when the server answers
 	c := newListCluster(t, 1, manySlots)
 	cfg, exited := c.startProcess()
 	grace := time.Duration(cfg.Fenced.GraceSeconds * float64(time.Second))
-	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: grace*5/6 + begun - left})
+	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: grace*5/6 - left})
+	before := c.arrivals()
 	received := c.sendInBackground(cfg)
-	time.Sleep(begun)
+	c.awaitArrival(before)
 	c.stopProcess()
 	resp := <-received
 	must.Eq(t, 200, resp.status, must.Sprint(resp))
@@ -75,8 +76,9 @@
 	req.Header.SetHost(host)
 	req.Header.Set("Chicorylug-Attempt-Id", "in-progress")
 	answered := make(chan error, 1)
+	before := c.arrivals()
 	go func() { answered <- fasthttp.Do(&req, &resp) }()
-	time.Sleep(begun)
+	c.awaitArrival(before)
 	go func() { _ = d.Stop(context.Background()) }()
 	must.NoError(t, <-answered)
 	must.Eq(t, 200, resp.StatusCode())
--- a/internal/daemon/fenced_progress_test.go
+++ b/internal/daemon/fenced_progress_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
@@ -18,10 +19,21 @@
 )
 
 const (
-	longRun = time.Second            // a request in progress runs this long
-	begun   = 100 * time.Millisecond // after which it has reached its server
+	longRun = time.Second // a request in progress runs this long
+	begun   = 100 * time.Millisecond
 )
 
+// awaitArrival waits until a server has got a request more than before.
+func (c *cluster) awaitArrival(before int) {
+	c.t.Helper()
+	c.await("request at its server", func() error {
+		if arrivals := c.arrivals(); arrivals <= before {
+			return errors.Errorf("%d requests at servers, want more than %d", arrivals, before)
+		}
+		return nil
+	})
+}
+
 // A request whose server is at work must be answered, whatever changes meanwhile in the
 // configuration, at the servers or at the store.
 func TestRequestInProgressOutlivesChanges(t *testing.T) {
@@ -49,8 +61,9 @@
 			c := newListCluster(t, 1, manySlots)
 			c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: longRun})
 			received := make(chan response, 1)
+			before := c.arrivals()
 			go func() { received <- c.send(c.daemons[0], "GET", "/list/x", -1, "") }()
-			time.Sleep(begun)
+			c.awaitArrival(before)
 			test.change(c)
 			resp := <-received
 			must.Eq(t, 200, resp.status, must.Sprint(resp))
