slots: a ticket that is granted to a caller that has left is free at once

Callers: the slot of a server stays empty for four of its service times and 0.1 s when the caller of a waiting request leaves just as its ticket is granted. Cause: the ticket is returned to whoever asked, also if its context has ended. Change: it is released then. Waiting has a function of its own.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -177,20 +177,33 @@
 	if queued == nil {
 		return &acquireResponse{Ticket: ticket, RetryAfterMS: retryAfter.Milliseconds()}, nil
 	}
-	timer := time.NewTimer(time.Until(request.respondBy))
+	return l.awaitTicket(ctx, q, queued)
+}
+
+// awaitTicket waits until the request is admitted, its response is due or its caller has
+// left. A ticket that is granted when the caller has left is released.
+func (l *Limiter) awaitTicket(ctx context.Context, q *serverQueue, queued *waiter) (*acquireResponse, error) {
+	timer := time.NewTimer(time.Until(queued.respondBy))
 	defer timer.Stop()
+	var ticket uint64
 	select {
 	case ticket = <-queued.admitted:
-		return &acquireResponse{Ticket: ticket}, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if q.remove(queued) {
+	if ticket == 0 && q.remove(queued) {
 		return &acquireResponse{RetryAfterMS: q.serviceTime.Milliseconds()}, nil
 	}
-	return &acquireResponse{Ticket: <-queued.admitted}, nil
+	if ticket == 0 {
+		ticket = <-queued.admitted
+	}
+	if ctx.Err() != nil {
+		q.release(ticket, 0, time.Now())
+		return nil, ctx.Err()
+	}
+	return &acquireResponse{Ticket: ticket}, nil
 }
 
 // serveRelease serves methodRelease.
