--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -8,6 +8,9 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
+// maxRotations bounds the routes whose state is kept. Another one takes the place of any.
+const maxRotations = 4096
+
 // serviceSelector distributes the requests of each route over its services by smooth
 // weighted round robin: even short sequences of requests follow the weights closely.
 type serviceSelector struct {
@@ -33,6 +36,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.routes[route.Name]
+	if r == nil {
+		s.makeRoom()
+	}
 	if r == nil || !sameBackends(r.backends, route.Backends) {
 		r = newRotation(route.Backends)
 		s.routes[route.Name] = r
@@ -40,6 +46,17 @@
 	return r.next()
 }
 
+// makeRoom forgets a route if maxRotations are known. The caller must hold s.mu.
+func (s *serviceSelector) makeRoom() {
+	if len(s.routes) < maxRotations {
+		return
+	}
+	for name := range s.routes {
+		delete(s.routes, name)
+		return
+	}
+}
+
 func sameBackends(a, b []catalog.WeightedService) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/gateway/weights_test.go
+++ b/internal/gateway/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -45,3 +46,12 @@
 		must.Eq(t, "b", string(selector.next(route)))
 	}
 }
+
+// Each route that was ever split kept its state for as long as the daemon ran.
+func TestNumberOfRotationsIsBounded(t *testing.T) {
+	selector := newServiceSelector()
+	for i := range 2 * maxRotations {
+		selector.next(&catalog.Route{Name: model.RouteName(strconv.Itoa(i)), Backends: []catalog.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}})
+	}
+	must.MapLen(t, maxRotations, selector.routes)
+}
