keeper: the ownership model forgets moves; histories of 15 servers

Two kinds of events are added: busy keys move, and then the store comes back from a copy of before the moves while the keeper, or all daemons, are down.

The number of servers in a history is a flag: -args -servers=15.

--- a/internal/keeper/events_test.go
+++ b/internal/keeper/events_test.go
@@ -3,6 +3,9 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/chicorylug/chicorylug/internal/backends"
+	"github.com/chicorylug/chicorylug/internal/catalog"
 )
 
 // The events of a history that concern daemons: cuts, pauses and losses, also together with the
@@ -70,6 +73,14 @@
 		h.comeBackWithout(e, one, two)
 	case "store restored while all daemons are down":
 		h.comeBackWithout(e, 0, 1, 2)
+	case "moves forgotten by the store and the keeper":
+		h.balanceKeys(e.key)
+		e.age = balanceTime + e.duration/2
+		h.comeBackWithout(e, h.keeperIndex())
+	case "moves forgotten by the store and all daemons":
+		h.balanceKeys(e.key)
+		e.age = balanceTime + e.duration/2
+		h.comeBackWithout(e, 0, 1, 2)
 	case "two daemons killed":
 		h.restartDaemons(e.duration, one, two)
 	case "all daemons killed":
@@ -77,6 +88,22 @@
 	}
 }
 
+// balanceTime is the time that balanceKeys takes.
+const balanceTime = 2 * time.Second
+
+// balanceKeys reports the load of busy keys, from the given one on, until some have moved.
+func (h *history) balanceKeys(key int) {
+	const reports = 4
+	busy := map[int]int{}
+	for i := range reports {
+		busy[(key+2000*i)%catalog.LastKey] = 900
+	}
+	for range reports {
+		h.report(&backends.KeyedStats{Keys: busy})
+		time.Sleep(balanceTime / reports)
+	}
+}
+
 // comeBackWithout is comeBack while daemons are down, which start at the store's return or some
 // time after it.
 func (h *history) comeBackWithout(e event, indexes ...int) {
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -47,7 +47,8 @@
 	"lingering grants", "keeper killed", "keeper paused", "keeper isolated", "keeper cut off from all servers",
 	"store restored", "store restored", "store restored", "store answers no longer reach one daemon",
 	"store restored and keeper killed", "store restored while the keeper is down", "store restored while two daemons are down",
-	"store restored while all daemons are down", "store restored twice", "all registrations lapse",
+	"store restored while all daemons are down", "store restored twice",
+	"moves forgotten by the store and the keeper", "moves forgotten by the store and all daemons", "all registrations lapse",
 	"shared records cut off from one daemon", "one server cut off from the keeper", "no daemon reaches the keeper",
 	"keeper reaches no daemon", "two daemons killed", "all daemons killed", "work", "work", "work", "hot key", "hot key",
 }
@@ -280,6 +281,9 @@
 	return h.violations, h.logged.String()
 }
 
+// servers is the number of servers in the histories of TestKeysHaveOneOwner.
+var servers = flag.Int("servers", modelServers, "number of servers in a history")
+
 // With lost and late messages and writes, unresponsive and restarted servers, paused,
 // isolated and restarted keepers, in any order, each key has at most one owner at a
 // time, under rising fences, and has one when the faults are over.
@@ -288,10 +292,10 @@
 		t.Run(fmt.Sprintf("group-%d", group), func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(rt *rapid.T) {
-				events := histories(modelServers).Draw(rt, "history")
+				events := histories(*servers).Draw(rt, "history")
 				var violations []string
 				var log string
-				synctest.Test(t, func(*testing.T) { violations, log = playHistory(modelServers, events) })
+				synctest.Test(t, func(*testing.T) { violations, log = playHistory(*servers, events) })
 				if len(violations) > 0 {
 					rt.Logf("%s", log[:min(len(log), modelLogBytes)])
 					rt.Fatalf("%s", strings.Join(violations[:min(len(violations), 5)], "\n"))
