keeper: histories notice pauses by the clock of the simulation

Seen: TestKeysHaveOneOwner/group-5 failed once beside load (average 25 to 37): "key 49401 has no owner at the end", rapid; rapid could not reproduce it, nor did 300 replays of the history (leave, keeper paused, replaced at its address, crash, restarted).

Cause: keepers notice that their process was paused by the machine's clock, also in the simulation. A pause of the test process of more than 1 s made a simulated keeper step down; its successor waits up to 14.55 s anew before a restarted server's keys move, beyond the end of the history.

Change: the clock is a field of the keeper; the simulation gives its own. Daemons are as before.

(A real keeper that was paused restarts the wait as described; not changed.)

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -104,6 +104,9 @@
 	queryStatus func(context.Context, follow.Daemon, model.PoolName) (*statusResponse, error)
 	// yield asks another daemon to step down as the keeper of a service.
 	yield func(context.Context, follow.Daemon, *yieldRequest) (*yieldResponse, error)
+	// pauseTime is the clock by which pauses of the process are noticed.
+	pauseTime func() int64
+
 
 	mu             sync.Mutex
 	serviceKeepers map[model.PoolName]*serviceKeeper // of the services that this daemon is the keeper of
@@ -149,6 +152,7 @@
 	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b) }
 	k.queryStatus = k.queryDaemon
 	k.yield = k.yieldDaemon
+	k.pauseTime = sinceBoot
 	rpc.Handle(server, methodYield, k.serveYield)
 	rpc.Handle(server, methodStatus, k.serveStatus)
 	rpc.Handle(server, methodReport, k.serveReport)
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -99,6 +99,7 @@
 	}
 	d.keeper.newServerClient = func(s *catalog.Server) serverClient { return &simClient{sim: h.simulation, from: d, server: s} }
 	d.keeper.queryStatus = d.queryAnother
+	d.keeper.pauseTime = func() int64 { return time.Now().UnixNano() } // of the simulation: the test process may pause
 	d.keeper.yield = d.yieldAnother
 	h.mu.Lock()
 	if index < len(h.daemons) {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -16,7 +16,7 @@
 // answered for too long about the records that name the keepers.
 func (s *serviceKeeper) renewLoop() {
 	defer s.done.Done()
-	pauses := newPauseClock()
+	pauses := newPauseClock(s.keeper.pauseTime)
 	for {
 		select {
 		case <-s.ctx.Done():
