keeper: refused writes are repeated ever more rarely

What was wrong: a daemon that could not become keeper tried four times a second, and a keeper whose write of moves or of its record in a new era failed three to four times, without jitter: with several services and daemons a burst at a store that has just returned.

Change: pauses of 0.3 to 0.6, then 0.6 to 1.2 s at random, for tries to become keeper, for failed writes of a keeper, and for writes of unknown outcome (150 ms before).

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -27,17 +27,16 @@
 
 // Periods and timeouts of monitoring keepers, of load reports and of writes.
 const (
-	monitorPeriod            = 250 * time.Millisecond // between two checks that each service has a keeper
-	statusTimeout            = 250 * time.Millisecond // of one status query to a keeper
-	yieldTimeout             = time.Second            // of a request to step down, which waits for the other keeper's calls to servers
-	maxFailedQueries         = 2                      // consecutive status queries without an answer after which a keeper is replaced
-	reportPeriod             = 400 * time.Millisecond // between two load reports to a keeper
-	reportTimeout            = 400 * time.Millisecond
-	maxStoreAge              = 3000 * time.Millisecond // with an older answer from the store, a daemon takes no services and moves no keys
-	maxKeeperStoreAge        = 3500 * time.Millisecond // a keeper with an older answer from the store is replaced
-	ambiguousWriteTimeout    = 10 * time.Second        // a write of unknown outcome is retried for this time
-	ambiguousWriteRetryDelay = 150 * time.Millisecond
-	initialAssignmentDelay   = 600 * time.Millisecond // from the first server of a new service to the assignment, so that more can register
+	monitorPeriod          = 250 * time.Millisecond // between two checks that each service has a keeper
+	statusTimeout          = 250 * time.Millisecond // of one status query to a keeper
+	yieldTimeout           = time.Second            // of a request to step down, which waits for the other keeper's calls to servers
+	maxFailedQueries       = 2                      // consecutive status queries without an answer after which a keeper is replaced
+	reportPeriod           = 400 * time.Millisecond // between two load reports to a keeper
+	reportTimeout          = 400 * time.Millisecond
+	maxStoreAge            = 3000 * time.Millisecond // with an older answer from the store, a daemon takes no services and moves no keys
+	maxKeeperStoreAge      = 3500 * time.Millisecond // a keeper with an older answer from the store is replaced
+	ambiguousWriteTimeout  = 10 * time.Second        // a write of unknown outcome is retried for this time
+	initialAssignmentDelay = 600 * time.Millisecond  // from the first server of a new service to the assignment, so that more can register
 )
 
 // RPC methods. The name of methodStatus on the wire is kept for daemons of other builds.
@@ -104,15 +103,16 @@
 	queryStatus func(context.Context, follow.Daemon, model.PoolName) (*statusResponse, error)
 	// yield asks another daemon to step down as the keeper of a service.
 	yield func(context.Context, follow.Daemon, *yieldRequest) (*yieldResponse, error)
+
 	// pauseTime is the clock by which pauses of the process are noticed.
 	pauseTime func() int64
 
-
 	mu             sync.Mutex
 	serviceKeepers map[model.PoolName]*serviceKeeper // of the services that this daemon is the keeper of
 	watchedKeepers map[model.PoolName]*watchedKeeper // of the services whose keeper was checked by this daemon
 	yielded        map[model.PoolName]*yieldRequest  // the last request to step down, by service
 	grants         *grantTimes                       // of this daemon
+	takeovers      takeoverRetries                   // after tries that failed
 	draining       bool                              // this daemon takes no services any more
 	newestEra      platform.Era                      // of the store, as of the last check of keepers
 	newestEraSince time.Time                         // when this daemon first saw newestEra
@@ -148,11 +148,12 @@
 		watchedKeepers: map[model.PoolName]*watchedKeeper{},
 		yielded:        map[model.PoolName]*yieldRequest{},
 		grants:         newGrantTimes(time.Now()),
+		takeovers:      takeoverRetries{},
 	}
 	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b) }
 	k.queryStatus = k.queryDaemon
-	k.yield = k.yieldDaemon
 	k.pauseTime = sinceBoot
+	k.yield = k.yieldDaemon
 	rpc.Handle(server, methodYield, k.serveYield)
 	rpc.Handle(server, methodStatus, k.serveStatus)
 	rpc.Handle(server, methodReport, k.serveReport)
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -62,7 +62,7 @@
 		return
 	}
 	for _, service := range snapshot.Configuration.KeyedServices() {
-		if k.isKeeping(service.Name) {
+		if k.isKeeping(service.Name) || !k.mayTakeOver(service.Name) {
 			continue
 		}
 		k.checkKeeper(ctx, snapshot, service.Name)
@@ -81,6 +81,14 @@
 	return k.serviceKeepers[service] != nil
 }
 
+// mayTakeOver reports whether this daemon may try to become the keeper of a service now: not
+// soon after a try that failed.
+func (k *Keeper) mayTakeOver(service model.PoolName) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.takeovers.due(service, time.Now())
+}
+
 // removeSteppedDown removes the serviceKeepers that have stepped down by themselves, and
 // waits until they have stopped.
 func (k *Keeper) removeSteppedDown() {
@@ -262,6 +270,9 @@
 	next.KeeperIncarnation = k.follow.Self().Incarnation
 	written, err := k.put(ctx, next)
 	if err != nil {
+		k.mu.Lock()
+		k.takeovers.failed(next.Service, time.Now())
+		k.mu.Unlock()
 		k.log.Warn("failed to become keeper", zap.String("service", string(next.Service)), zap.String("why", reason), zap.Error(err))
 		if errors.Is(err, platform.ErrConflict) {
 			k.follow.RefreshShared(ctx)
@@ -277,6 +288,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.takeovers.succeeded(next.Service)
 	if k.draining || k.yielded[next.Service].laterThan(written) {
 		return nil
 	}
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -90,6 +90,7 @@
 	}
 	if err == nil && owners != nil {
 		s.owners = owners
+		s.writePauses = writeRetries()
 	}
 	s.mu.Unlock()
 	if err != nil {
@@ -102,7 +103,7 @@
 }
 
 // resumeGrants renews the grants of the sources of moves that were not written, and
-// delays further moves by writeFailureDelay.
+// delays further moves.
 func (s *serviceKeeper) resumeGrants(released []releasedMove) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,7 +112,7 @@
 			h.nextCallAt = time.Time{}
 		}
 	}
-	s.noMovesBefore = time.Now().Add(writeFailureDelay)
+	s.noMovesBefore = time.Now().Add(s.writePauses.Next())
 }
 
 // releasedMove is a move whose source holds the keys no longer. state names what the
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -62,6 +62,7 @@
 func (k *Keeper) retryAmbiguous(ctx context.Context, record platform.Record, expect platform.Position) (platform.Position, error) {
 	k.log.Warn("write was not answered, retrying", zap.String("record", record.Name), zap.Uint64("expected", uint64(expect.Revision)))
 	end := time.Now().Add(ambiguousWriteTimeout)
+	pauses := writeRetries()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		position, err := k.putOnce(ctx, record, expect)
 		switch {
@@ -70,7 +71,7 @@
 		case errors.Is(err, platform.ErrConflict):
 			return k.confirmWritten(ctx, record, expect.Era)
 		}
-		time.Sleep(ambiguousWriteRetryDelay)
+		time.Sleep(pauses.Next())
 	}
 	return platform.Position{}, errOutcomeUnknown
 }
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -191,6 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.owners = written
+	s.writePauses = writeRetries()
 	return true
 }
 
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/model"
+	"github.com/chicorylug/chicorylug/internal/retry"
 )
 
 const (
@@ -20,7 +21,6 @@
 	writeTimeout         = time.Second             // of one attempt to write the owners record
 	maxRenewWithoutStore = 12 * time.Second        // grants are renewed for this time without an answer from the store
 	maxPause             = time.Second             // a keeper that was paused for longer steps down, as another may have taken over
-	writeFailureDelay    = 300 * time.Millisecond  // no keys move for this time after a failed write
 )
 
 // errSteppedDown says that this daemon is not the keeper of the service any more.
@@ -49,7 +49,8 @@
 	missingSince         map[model.ServerID]time.Time // when an owner was first seen unregistered in a likely outage
 	steppedDown          bool
 	balancedAt           time.Time // when the last round of balancing began
-	noMovesBefore        time.Time // after a failed write, see writeFailureDelay
+	noMovesBefore        time.Time // after a failed write
+	writePauses          retry.Backoff
 	recordsSeenAt        time.Time // as of when no other keeper was named; used by renewLoop only
 	doubt                doubt     // used by moveLoop only
 
@@ -69,6 +70,7 @@
 		earlierGrantsUntil: earlierGrantsUntil,
 		leaving:            leavingServers{},
 		missingSince:       map[model.ServerID]time.Time{},
+		writePauses:        writeRetries(),
 		recordsSeenAt:      time.Now(),
 	}
 	if owners.EarlierKeeperMayRenew {
--- a/internal/keeper/simulation_test.go
+++ b/internal/keeper/simulation_test.go
@@ -141,6 +141,9 @@
 	lateReleases    int // gets no answer; takes effect after lateness
 	lingeringGrants int // arrives modelLateArrival after its call timed out, and its duration begins only then
 
+	refuseWrites bool
+	writes       []time.Time // when daemons called Put
+
 	lateness time.Duration // delay of late writes, grants and releases
 
 	violations []string
@@ -545,6 +548,10 @@
 func (d *simDaemon) Put(ctx context.Context, _ platform.Collection, r platform.Record, expect platform.Revision) (platform.Position, error) {
 	var position platform.Position
 	err := d.callStore(ctx, func(sim *simulation) error {
+		sim.writes = append(sim.writes, time.Now())
+		if sim.refuseWrites {
+			return platform.ErrUnavailable
+		}
 		if sim.lateWrites > 0 {
 			sim.lateWrites--
 			time.AfterFunc(sim.lateness, func() {
