member: the older copy's instance list is not used while instances register again

Seen by callers: a server that leaves got requests and keys again for a second after the store came back from an older copy, which shows it as live; one that had registered since the copy was taken for gone, so that its keys moved away.

Cause: the list was taken as read, whatever era it was read in.

Change: for 2 s from the first answer of a later era the known list stays, as in fleets whose servers check grants.

Evidence: TestLeavingServerStaysLeavingOverARestoredStore failed 3 of 3 before (state live) and passes 3 of 3.

Conclusion: a daemon that starts within these 2 s still spreads the copy's list.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,6 +32,7 @@
 	readerCount       = 2                // number of daemons that read the list while it is current
 	maxListAge        = 5 * time.Second  // age of the list above which every daemon reads it
 	unlistedRetention = 30 * time.Second // time for which the record of an unlisted daemon is kept
+	copiedListHold    = 2 * time.Second  // time after the store came back from an older copy in which instances register again
 	minFreshInterval  = 2 * time.Second  // least time between two updates of itemFresh while the list is unchanged
 )
 
@@ -76,6 +77,8 @@
 	listFreshAt   time.Time                    // when this daemon last read the list or received that another one did
 	unlistedSince map[model.DaemonID]time.Time // when run first saw that a daemon with a record is not listed; used by run only
 	recordCount   uint64                       // number of records of this daemon that were spread
+	era           platform.Era                 // newest era of the store; zero before its first answer
+	copiedUntil   time.Time                    // until when the store's list is that of an older copy
 
 	background kernel.Background
 }
@@ -108,6 +111,7 @@
 	s.Add(m.daemons)
 	s.Add(m.instances)
 	s.SetPeers(m.peers)
+	p.OnEra(m.noticeEra)
 	return m
 }
 
@@ -231,10 +235,33 @@
 		m.log.Debug("instance list could not be read from the platform", zap.String("step", "read"), zap.String("peer", "platform"), zap.Error(err))
 		return
 	}
+	if m.listIsCopied(time.Now()) {
+		return
+	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	m.publishList(list)
 }
 
+// noticeEra begins copiedListHold when the store has come back from an older copy.
+func (m *Tracker) noticeEra(era platform.Era) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.era != 0 && era > m.era {
+		m.copiedUntil = time.Now().Add(copiedListHold)
+	}
+	m.era = max(m.era, era)
+}
+
+// listIsCopied reports whether the store's list is that of an older copy, in which
+// instances are missing or have an earlier state until they have registered again. The
+// list that is known stays.
+func (m *Tracker) listIsCopied(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, _ := m.instances.Get(itemList)
+	return now.Before(m.copiedUntil) && known.Version > 0
+}
+
 // publishList spreads a list that was read, if it changed, and the time of the read, if the
 // last spread one is older than minFreshInterval or the list changed.
 func (m *Tracker) publishList(list []platform.Instance) {
