--- a/internal/coordinator/candidate.go
+++ b/internal/coordinator/candidate.go
@@ -217,7 +217,9 @@
 		return err
 	}
 	if row.Era != cand.era {
-		cand.enterEra(row.Era)
+		if row.Era > cand.era {
+			cand.enterEra(row.Era)
+		}
 		return errors.Wrapf(platform.ErrOtherEra, "read lease: era %d", row.Era)
 	}
 	cand.row = row.Version
@@ -246,7 +248,7 @@
 	}
 	earlier := cand.lease
 	cand.lease = next
-	cand.startControl(ctx, newController(cand.c, cand.pool, next.Term, cand.era), asked, acquireCause(earlier))
+	cand.startControl(ctx, newController(cand.c, cand.pool, next.Term, cand.era), asked, acquireCause(earlier, cand.era))
 	return ownership.LeaseRenewInterval
 }
 
@@ -259,8 +261,10 @@
 	cand.c.background.Go(ctl.run)
 }
 
-func acquireCause(earlier ownership.Lease) string {
+func acquireCause(earlier ownership.Lease, era platform.Era) string {
 	switch {
+	case earlier.Term == 0 && era > platform.FirstEra:
+		return "the store came back from an older copy, and the lease that it has lost lapsed"
 	case earlier.Term == 0:
 		return "the pool had no coordinator yet"
 	case earlier.Holder == "":
