standin, soak: the names of the callers' headers stand once

Cause: soak/callers.go and the daemon's tests spelled headers of the users' platform outside platform/ and the stand-ins. They now use those of internal/standin/fenced.

--- a/internal/daemon/fenced_grace_test.go
+++ b/internal/daemon/fenced_grace_test.go
@@ -74,7 +74,7 @@
 	req.SetRequestURI("http://" + d.Config().CallerAddress + "/list/x")
 	req.UseHostHeader = true
 	req.Header.SetHost(host)
-	req.Header.Set("Chicorylug-Attempt-Id", "in-progress")
+	req.Header.Set(fenced.HeaderAttemptID, "in-progress")
 	answered := make(chan error, 1)
 	before := c.arrivals()
 	go func() { answered <- fasthttp.Do(&req, &resp) }()
@@ -170,7 +170,7 @@
 	req.SetRequestURI("http://" + address + "/list/x")
 	req.UseHostHeader = true
 	req.Header.SetHost(host)
-	req.Header.Set("Chicorylug-Attempt-Id", "kept")
+	req.Header.Set(fenced.HeaderAttemptID, "kept")
 	must.NoError(c.t, fasthttp.Do(&req, &resp))
 	return string(resp.Header.Peek(fasthttp.HeaderKeepAlive))
 }
--- a/internal/daemon/fenced_progress_test.go
+++ b/internal/daemon/fenced_progress_test.go
@@ -83,8 +83,8 @@
 		var resp fasthttp.Response
 		id := fmt.Sprintf("kept-%d-%d", number, i)
 		req.SetRequestURI("http://" + host + "/list/x")
-		req.Header.Set("Chicorylug-Attempt-Id", id)
-		req.Header.Set("Chicorylug-Request-Deadline-Ms", "2000")
+		req.Header.Set(fenced.HeaderAttemptID, id)
+		req.Header.Set(fenced.HeaderDeadline, "2000")
 		err := client.Do(&req, &resp)
 		switch {
 		case err != nil && strings.Contains(err.Error(), "refused"):
--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -240,10 +240,10 @@
 	req.SetRequestURI("http://" + address + path)
 	req.UseHostHeader = true
 	req.Header.SetHost(host)
-	req.Header.Set("Chicorylug-Attempt-Id", id)
-	req.Header.Set("Chicorylug-Request-Deadline-Ms", "2000")
+	req.Header.Set(fenced.HeaderAttemptID, id)
+	req.Header.Set(fenced.HeaderDeadline, "2000")
 	if key >= 0 {
-		req.Header.Set("Chicorylug-Shard-Key", strconv.Itoa(key))
+		req.Header.Set(fenced.HeaderKey, strconv.Itoa(key))
 	}
 	req.SetBodyString(body)
 	client := fasthttp.Client{DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
@@ -252,7 +252,7 @@
 	}
 	return response{
 		id: id, status: resp.StatusCode(), body: string(resp.Body()),
-		retryAfter: string(resp.Header.Peek("Retry-After")), signature: string(resp.Header.Peek("Chicorylug-Server-Signature")),
+		retryAfter: string(resp.Header.Peek("Retry-After")), signature: string(resp.Header.Peek(fenced.HeaderSignature)),
 	}
 }
 
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -17,23 +17,6 @@
 	"github.com/chicorylug/chicorylug/internal/standin/platformd"
 )
 
-// Headers and paths of the platform's HTTP protocol.
-const (
-	headerAttemptID        = "Chicorylug-Attempt-Id"
-	headerDeadline         = "Chicorylug-Request-Deadline-Ms"
-	headerSignature        = "Chicorylug-Server-Signature"
-	headerExpectedInstance = "Chicorylug-Expected-Instance"
-	headerNotRun           = "Chicorylug-Not-Executed"
-	headerInstance         = "Chicorylug-Instance-Id"
-	headerLoad             = "Chicorylug-Instance-Load"
-	headerKey              = "Chicorylug-Shard-Key"
-	headerHandover         = "Chicorylug-Handover"
-	headerLeaving          = "Server-Leaving"
-	pathGrant              = "/-/grant"
-	pathRelease            = "/-/release"
-	pathHealth             = "/healthz"
-)
-
 // Options configure one server.
 type Options struct {
 	ID          string
--- a/internal/standin/fenced/flood.go
+++ b/internal/standin/fenced/flood.go
@@ -41,7 +41,7 @@
 func flood(ctx *fasthttp.RequestCtx, kind FloodKind, id string) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(conn net.Conn) {
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n", headerAttemptID, id, headerSignature)
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n", HeaderAttemptID, id, HeaderSignature)
 		filler := strings.Repeat("x", floodPieceBytes)
 		switch kind {
 		case FloodStatusLine:
--- a/internal/standin/fenced/requests.go
+++ b/internal/standin/fenced/requests.go
@@ -43,7 +43,7 @@
 	if s.options.Reached == nil {
 		return
 	}
-	a := Arrival{ID: string(ctx.Request.Header.Peek(headerAttemptID)), Arrived: arrived, Answered: time.Now()}
+	a := Arrival{ID: string(ctx.Request.Header.Peek(HeaderAttemptID)), Arrived: arrived, Answered: time.Now()}
 	if !ctx.Hijacked() {
 		h := &ctx.Response.Header
 		a.Status, a.Leaving = h.StatusCode(), len(h.Peek(headerLeaving)) > 0
@@ -60,9 +60,9 @@
 }
 
 func (s *Server) handleRequest(ctx *fasthttp.RequestCtx) {
-	id := string(ctx.Request.Header.Peek(headerAttemptID))
+	id := string(ctx.Request.Header.Peek(HeaderAttemptID))
 	key := -1
-	if number, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerKey))); err == nil {
+	if number, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderKey))); err == nil {
 		key = number
 	}
 	s.mu.Lock()
@@ -93,7 +93,7 @@
 	s.running++
 	s.runningByKey[key]++
 	s.runs[id]++
-	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerDeadline))); err == nil {
+	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderDeadline))); err == nil {
 		s.deadlines = append(s.deadlines, time.Duration(ms)*time.Millisecond)
 	}
 	load := fmt.Sprintf("%d,0,%d", s.running, s.options.Slots)
@@ -125,7 +125,7 @@
 	case f.Unframed:
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(conn net.Conn) {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n\r\n%s", headerAttemptID, id, headerSignature, body)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n\r\n%s", HeaderAttemptID, id, HeaderSignature, body)
 		})
 		return
 	case f.WrongAttemptID:
@@ -136,8 +136,8 @@
 	case f.FailAll:
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
-	ctx.Response.Header.Set(headerAttemptID, id)
-	ctx.Response.Header.Set(headerSignature, "signed."+s.options.ID)
+	ctx.Response.Header.Set(HeaderAttemptID, id)
+	ctx.Response.Header.Set(HeaderSignature, "signed."+s.options.ID)
 	ctx.Response.Header.Set(headerLoad, load)
 	ctx.SetBodyString(body)
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -15,6 +15,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 )
 
 // Load of the callers.
@@ -32,14 +34,6 @@
 	maxQueryBytes = 3000 // the stand-in server reads 4096 bytes of headers
 )
 
-// Headers of requests and answers.
-const (
-	headerAttemptID = "Chicorylug-Attempt-Id"
-	headerDeadline  = "Chicorylug-Request-Deadline-Ms"
-	headerKey       = "Chicorylug-Shard-Key"
-	headerSignature = "Chicorylug-Server-Signature"
-)
-
 // caller sends requests one after the other. It keeps its connection until that ends.
 type caller struct {
 	name     string
@@ -136,7 +130,7 @@
 	switch kind := c.rng.Float64(); {
 	case kind < readShare:
 		fillRequest(req, fasthttp.MethodGet, readPrefix+"x?"+id+filler, id, deadline)
-		req.Header.Set(headerKey, strconv.Itoa(c.rng.IntN(keyCount)))
+		req.Header.Set(fenced.HeaderKey, strconv.Itoa(c.rng.IntN(keyCount)))
 		return false
 	case kind < readShare+sealShare:
 		fillRequest(req, fasthttp.MethodPost, "/seal/x?"+id+filler, id, deadline)
@@ -161,8 +155,8 @@
 	req.SetRequestURI(path)
 	req.UseHostHeader = true
 	req.Header.SetHost(routeHost)
-	req.Header.Set(headerAttemptID, id)
-	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(fenced.HeaderAttemptID, id)
+	req.Header.Set(fenced.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 }
 
 // exchange sends a request on a connection and reads the answer. It sets the time of
@@ -194,11 +188,11 @@
 	if got := string(resp.Body()); got != want {
 		return server, errors.Errorf("body is %.100q, want %.100q (%d and %d bytes)", got, want, len(got), len(want))
 	}
-	signature := string(resp.Header.Peek(headerSignature))
+	signature := string(resp.Header.Peek(fenced.HeaderSignature))
 	if signature != "signed."+server && signature != unframedSignature {
 		return server, errors.Errorf("signature %q of server %s", signature, server)
 	}
-	if id := string(resp.Header.Peek(headerAttemptID)); id != string(req.Header.Peek(headerAttemptID)) {
+	if id := string(resp.Header.Peek(fenced.HeaderAttemptID)); id != string(req.Header.Peek(fenced.HeaderAttemptID)) {
 		return server, errors.Errorf("attempt ID %q", id)
 	}
 	return server, nil
--- a/soak/run.go
+++ b/soak/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 )
 
 const (
@@ -188,7 +190,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	fillRequest(req, fasthttp.MethodGet, url, fmt.Sprintf("check-%d", time.Now().UnixNano()), maxDeadline)
 	if key >= 0 {
-		req.Header.Set(headerKey, fmt.Sprint(key))
+		req.Header.Set(fenced.HeaderKey, fmt.Sprint(key))
 	}
 	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
 		return errors.Wrap(err, url)
