--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,7 +32,6 @@
 	readerCount       = 2                // number of daemons that read the list while it is current
 	maxListAge        = 5 * time.Second  // age of the list above which every daemon reads it
 	unlistedRetention = 30 * time.Second // time for which the record of an unlisted daemon is kept
-	copiedListHold    = 2 * time.Second  // time after the store came back from an older copy in which instances register again
 	minFreshInterval  = 2 * time.Second  // least time between two updates of itemFresh while the list is unchanged
 )
 
@@ -242,26 +241,6 @@
 	m.publishList(list)
 }
 
-// noticeEra begins copiedListHold when the store has come back from an older copy.
-func (m *Tracker) noticeEra(era platform.Era) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.era != 0 && era > m.era {
-		m.copiedUntil = time.Now().Add(copiedListHold)
-	}
-	m.era = max(m.era, era)
-}
-
-// listIsCopied reports whether the store's list is that of an older copy, in which
-// instances are missing or have an earlier state until they have registered again. The
-// list that is known stays.
-func (m *Tracker) listIsCopied(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known, _ := m.instances.Get(itemList)
-	return now.Before(m.copiedUntil) && known.Version > 0
-}
-
 // publishList spreads a list that was read, if it changed, and the time of the read, if the
 // last spread one is older than minFreshInterval or the list changed.
 func (m *Tracker) publishList(list []platform.Instance) {
