--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -30,7 +30,6 @@
 	readerCount       = 2                // number of daemons that read the list while it is current
 	maxListAge        = 5 * time.Second  // age of the list above which every daemon reads it
 	unlistedRetention = 30 * time.Second // time for which the record of an unlisted daemon is kept
-	copiedListHold    = 2 * time.Second  // time after the store came back from an older copy in which instances register again
 	minFreshInterval  = 2 * time.Second  // least time between two updates of itemFresh while the list is unchanged
 )
 
