keeper, follow: what is written again or given up is logged with both positions

Missing in the logs: the lost and the new position of a daemon's own record, and the position of the owners record that a keeper gives up after the store came back.

The command line does not show the era: fleets whose servers check grants have no admin listener; the store's era is in the log and in the positions of the records only.

TestLostDaemonRecordIsLoggedWithBothPositions and TestRecordThatIsGivenUpIsLoggedWithBothPositions are new; both need fields that were not there.

--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -195,6 +195,7 @@
 	if err != nil {
 		return platform.Position{}, err
 	}
+	f.log.Info("this daemon is registered", zap.Uint64("era", uint64(record.Era)), zap.Uint64("revision", uint64(record.Revision)))
 	f.markStoreAnswered()
 	f.ApplyWrite(platform.Shared, record)
 	return record.Position, nil
@@ -206,7 +207,9 @@
 	if f.isRegistered() {
 		return
 	}
-	f.log.Info("registering this daemon again", zap.Uint64("era", uint64(f.StoreEra())))
+	lost, _ := f.replicas[platform.Shared].record(platform.DaemonPrefix + string(f.config.Name))
+	f.log.Info("registering this daemon again", zap.Uint64("era", uint64(f.StoreEra())),
+		zap.Uint64("earlier_era", uint64(lost.Era)), zap.Uint64("earlier_revision", uint64(lost.Revision)))
 	f.register(ctx)
 }
 
--- a/internal/follow/daemons_test.go
+++ b/internal/follow/daemons_test.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/platform"
@@ -103,3 +106,26 @@
 		must.EqOp(t, 2, store.puts.Load())
 	})
 }
+
+// What the store had lost of a daemon was logged without the position that was lost or the one at
+// which it was written again.
+func TestLostDaemonRecordIsLoggedWithBothPositions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		core, logs := observer.New(zap.InfoLevel)
+		r.follower.log = zap.New(core)
+		store := &eraStore{}
+		store.revision.Store(40)
+		r.follower.store = store
+		own := wireRecord{Name: platform.DaemonPrefix + "d1", Value: []byte(`{"name":"d1"}`), Position: era(1, 87)}
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(1, 90), Records: []wireRecord{own}})
+		r.follower.applyUpdate(platform.Shared, update{Full: true, Position: era(2, 40)})
+		time.Sleep(2 * registerAgainJitter)
+		again := logs.FilterMessage("registering this daemon again").All()
+		must.Len(t, 1, again)
+		must.Eq(t, map[string]any{"era": uint64(2), "earlier_era": uint64(1), "earlier_revision": uint64(87)}, again[0].ContextMap())
+		registered := logs.FilterMessage("this daemon is registered").All()
+		must.Len(t, 1, registered)
+		must.Eq(t, map[string]any{"era": uint64(2), "revision": uint64(41)}, registered[0].ContextMap())
+	})
+}
--- a/internal/keeper/restored.go
+++ b/internal/keeper/restored.go
@@ -43,7 +43,7 @@
 		return false
 	case owners.Era+1 < era:
 		// Another keeper may have been appointed in the era between.
-		s.stepDown("the store came back from an older copy more than once", zap.Uint64("era", uint64(era)), zap.Uint64("earlier_era", uint64(owners.Era)))
+		s.giveUpRecord("the store came back from an older copy more than once", era)
 		return false
 	case owners.Era < era:
 		return s.enterEra(era)
@@ -59,7 +59,7 @@
 func (s *serviceKeeper) enterEra(era platform.Era) bool {
 	switch s.compareWithOthers() {
 	case isSuperseded:
-		s.stepDown("another daemon became the keeper before the store came back from an older copy", zap.Uint64("era", uint64(era)))
+		s.giveUpRecord("another daemon became the keeper before the store came back from an older copy", era)
 		return false
 	case unconfirmed:
 		return s.enterEraUnconfirmed(era)
@@ -67,6 +67,15 @@
 	return s.rewrite(platform.Position{Era: era})
 }
 
+// giveUpRecord steps down without writing the owners record again in an era.
+func (s *serviceKeeper) giveUpRecord(reason string, era platform.Era) {
+	s.mu.Lock()
+	lost := s.owners.Position
+	s.mu.Unlock()
+	s.stepDown(reason, zap.Uint64("era", uint64(era)),
+		zap.Uint64("earlier_era", uint64(lost.Era)), zap.Uint64("earlier_revision", uint64(lost.Revision)))
+}
+
 // doubt is what a keeper knows in an era in which no daemon has confirmed that it is the
 // latest one.
 type doubt struct {
@@ -91,7 +100,7 @@
 	case !stoppedAt.IsZero() && time.Since(stoppedAt) > maxGrantLifetime(s.keeper.grantHold()):
 		return s.rewrite(platform.Position{Era: era})
 	case time.Since(s.doubt.since) > s.keeper.longestEarlierGrants():
-		s.stepDown("no daemon has confirmed that this one is the latest keeper", zap.Uint64("era", uint64(era)))
+		s.giveUpRecord("no daemon has confirmed that this one is the latest keeper", era)
 		return false
 	}
 	s.log.Info("no daemon has confirmed yet that this one is the latest keeper", zap.Uint64("era", uint64(era)),
--- a/internal/keeper/restored_test.go
+++ b/internal/keeper/restored_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -325,3 +326,15 @@
 		must.False(t, owners.Uncertain)
 	})
 }
+
+// A keeper that gave its record up did not log which one.
+func TestRecordThatIsGivenUpIsLoggedWithBothPositions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHistory()
+		for range 2 {
+			h.restore(time.Second, modelRewriteTime)
+		}
+		h.finish(t)
+		must.RegexMatch(t, regexp.MustCompile(`"stepped down as keeper".*"era":3,"earlier_era":1,"earlier_revision":[1-9].*more than once`), h.logged.String())
+	})
+}
