overload: urgent requests are first when servers of a service without keys are full

Cause: requests that any server may run are sent at once; the server turns them away whatever their rank. Only requests for keys pass a queue by rank (internal/slots). Class: the ranks of a configuration were respected in one of two paths.

Change: internal/overload, without network and per daemon and service. When more than a fifth of the ended requests (three at least, averaged over 1 s) found all servers that they were sent to full, the requests in progress are limited to what the servers took: those left in progress, or as many as ran at a time on average. The rest waits in the order of ranks, for up to an eighth of its time, as many as run at a time; a more urgent arrival displaces the last one, which is refused as queue_full (step admit) with Retry-After of its expected turn, 0.4 s at least, a third of the remaining time at most. The limit grows by a tenth each service time from 250 ms after its last reduction on, and ends when none was turned away for 2 s. While none is turned away none is refused. A route's weights hold: what does not fit at a part is refused. Idle services are forgotten.

Open: the retry budget is still first come, first served; retries for urgent ranks first would bring their share nearer to 1.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -52,6 +52,7 @@
 		slot.Release(runDuration(result))
 		if result.Execution == backends.Ran && !c.hasRetryableStatus(result) {
 			c.clearSuspicion()
+			c.tookAtServer = result.Took
 			c.writeResponse(result.Response)
 			return nil
 		}
@@ -271,6 +272,7 @@
 // classifyFailure returns the refusal for a failed attempt and records in c whether
 // the request may have run.
 func (c *call) classifyFailure(server *catalog.Server, result backends.Result) *reason.Error {
+	c.foundFull = false
 	outcome := reason.Unknown
 	code := reason.ServerLost
 	var held *backends.HeldError
@@ -283,6 +285,7 @@
 		outcome, code = reason.NotRun, reason.WrongEpoch
 	case result.Execution == backends.NotRun && result.Sent:
 		outcome, code = reason.NotRun, reason.ServerShed
+		c.foundFull = true
 	case result.Execution == backends.NotRun:
 		outcome, code = reason.NotRun, reason.ServerUnreachable
 	case errors.Is(result.Err, backends.ErrNoAnswer):
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -28,6 +28,7 @@
 		return nil, c.contextRefusal(cause)
 	}
 	if full {
+		c.foundFull = true
 		return nil, reason.New(reason.QueueFull, "choose", string(c.service), "all servers are full")
 	}
 	if held := c.gateway.backends.HeldService(c.gateway.catalog.Load(), c.service, c.headers.ID, time.Now()); held != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chicorylug/chicorylug/internal/kernel"
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	"github.com/chicorylug/chicorylug/internal/overload"
 	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/slots"
 )
@@ -47,6 +48,7 @@
 	backends *backends.Backends
 	poison   *poison.Table
 	slots    *slots.Limiter
+	overload *overload.Limiter
 	watch    *callwatch.Watcher
 	selector *serviceSelector
 	log      *zap.Logger
@@ -87,6 +89,7 @@
 		backends:     b,
 		poison:       p,
 		slots:        sl,
+		overload:     overload.New(log),
 		watch:        callwatch.New(),
 		selector:     newServiceSelector(),
 		log:          log.Named(string(ServiceName)),
@@ -154,6 +157,7 @@
 		g.backends.Prune()
 		g.slots.Prune(g.catalog.Load().Servers)
 		g.poison.Expire(time.Now())
+		g.overload.Prune(time.Now())
 	}
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -52,6 +52,8 @@
 	lastServer   model.ServerID // of the last attempt
 	fence        catalog.Fence  // of the grant under which the server of the last attempt owned the key
 	mayHaveRun   bool           // an attempt may have run the request
+	foundFull    bool           // the last attempt, or the choice of a server for it, found the servers full
+	tookAtServer time.Duration  // of the attempt that a server answered
 	// misdirected counts the servers' rejections of the key because they do not own it;
 	// misdirectedAt is the time of the last one.
 	misdirected   int
@@ -95,7 +97,7 @@
 		c.gateway.watch.Remove(c.watched)
 		cancel(nil)
 	}()
-	return c.sendWithRetries()
+	return c.sendAdmitted()
 }
 
 // resolveRoute determines the request's route, service and deadline.
