--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -113,10 +113,9 @@
 	yielded        map[model.PoolName]*yieldRequest  // the last request to step down, by service
 	grants         *grantTimes                       // of this daemon
 	takeovers      takeoverRetries                   // after tries that failed
-	ended          endedDaemons
-	draining       bool         // this daemon takes no services any more
-	newestEra      platform.Era // of the store, as of the last check of keepers
-	newestEraSince time.Time    // when this daemon first saw newestEra
+	draining       bool                              // this daemon takes no services any more
+	newestEra      platform.Era                      // of the store, as of the last check of keepers
+	newestEraSince time.Time                         // when this daemon first saw newestEra
 
 	background kernel.Background
 }
@@ -150,7 +149,6 @@
 		yielded:        map[model.PoolName]*yieldRequest{},
 		grants:         newGrantTimes(time.Now()),
 		takeovers:      takeoverRetries{},
-		ended:          endedDaemons{},
 	}
 	k.newServerClient = func(server *catalog.Server) serverClient { return newHTTPClient(d, network, server, b) }
 	k.queryStatus = k.queryDaemon
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -95,7 +95,7 @@
 	d.keeper = &Keeper{
 		config: c, catalog: d.catalog, follow: d, store: d, log: h.log.With(zap.String("daemon", string(d.self.Name))),
 		serviceKeepers: map[model.PoolName]*serviceKeeper{}, watchedKeepers: map[model.PoolName]*watchedKeeper{},
-		yielded: map[model.PoolName]*yieldRequest{}, grants: newGrantTimes(time.Now()), takeovers: takeoverRetries{}, ended: endedDaemons{},
+		yielded: map[model.PoolName]*yieldRequest{}, grants: newGrantTimes(time.Now()), takeovers: takeoverRetries{},
 	}
 	d.keeper.newServerClient = func(s *catalog.Server) serverClient { return &simClient{sim: h.simulation, from: d, server: s} }
 	d.keeper.queryStatus = d.queryAnother
--- a/internal/keeper/monitor.go
+++ b/internal/keeper/monitor.go
@@ -124,7 +124,6 @@
 		return
 	}
 	response, err := k.queryStatus(ctx, d, service)
-	k.noteCall(d, err)
 	switch {
 	case err == nil && response.Incarnation != owners.KeeperIncarnation:
 		k.takeOver(ctx, owners, "the keeper's process has ended", true)
@@ -213,10 +212,10 @@
 	}
 	const reason = "the service has no keeper yet"
 	if first.Era == platform.FirstEra {
-		k.becomeKeeper(ctx, first, nil, time.Time{}, reason)
+		k.becomeKeeper(ctx, first, time.Time{}, reason)
 		return
 	}
-	k.becomeUncertainKeeper(ctx, first, nil, reason)
+	k.becomeUncertainKeeper(ctx, first, reason)
 }
 
 // takeOver becomes the keeper of a service and assigns the same keys to the same
@@ -234,7 +233,7 @@
 		next.Ranges[i].Fence = nextFence(next.Position)
 	}
 	if owners.Era < era || owners.Uncertain {
-		k.becomeUncertainKeeper(ctx, &next, owners, reason)
+		k.becomeUncertainKeeper(ctx, &next, reason)
 		return
 	}
 	next.EarlierKeeperMayRenew = owners.EarlierKeeperMayRenew || !earlierStopped
@@ -243,7 +242,7 @@
 		// Without contact to the store, the earlier keeper goes on renewing for this time.
 		earlierGrantsUntil = time.Now().Add(k.longestEarlierGrants())
 	}
-	s := k.becomeKeeper(ctx, &next, owners, earlierGrantsUntil, reason)
+	s := k.becomeKeeper(ctx, &next, earlierGrantsUntil, reason)
 	if s == nil || earlierStopped || owners.EarlierKeeperMayRenew {
 		return
 	}
@@ -252,7 +251,7 @@
 		return
 	}
 	request := &yieldRequest{Service: next.Service, Term: next.Term, Era: s.era()}
-	if lastGrantAt, _, confirmed := k.requestYield(ctx, d, request); confirmed {
+	if lastGrantAt, confirmed := k.requestYield(ctx, d, request); confirmed {
 		s.endEarlierGrantsAt(lastGrantAt.Add(maxGrantLifetime(k.grantHold())))
 	}
 }
@@ -263,10 +262,10 @@
 	return maxGrantLifetime(k.grantHold()) + maxRenewWithoutStore
 }
 
-// becomeKeeper writes the owners record with this daemon as keeper, after that of an earlier
-// keeper if there was one, and begins to renew grants and move keys. It returns nil when the
-// write failed or this daemon is shutting down.
-func (k *Keeper) becomeKeeper(ctx context.Context, next, earlier *catalog.Owners, earlierGrantsUntil time.Time, reason string) *serviceKeeper {
+// becomeKeeper writes the owners record with this daemon as keeper and begins to renew
+// grants and move keys. It returns nil when the write failed or this daemon is
+// shutting down.
+func (k *Keeper) becomeKeeper(ctx context.Context, next *catalog.Owners, earlierGrantsUntil time.Time, reason string) *serviceKeeper {
 	next.Keeper = k.config.Name
 	next.KeeperIncarnation = k.follow.Self().Incarnation
 	written, err := k.put(ctx, next)
@@ -296,7 +295,7 @@
 	s := newServiceKeeper(k, written, earlierGrantsUntil)
 	if written.Uncertain {
 		s.done.Add(1)
-		go k.confirmNoOtherKeeper(s, earlier)
+		go k.confirmNoOtherKeeper(s)
 	}
 	k.serviceKeepers[next.Service] = s
 	return s
--- a/internal/keeper/yield.go
+++ b/internal/keeper/yield.go
@@ -54,21 +54,19 @@
 
 // requestYield asks another daemon to step down as keeper, and reports whether it confirmed
 // that. Once it has confirmed, it sends no further grants; lastGrantAt is the latest time at
-// which it may have sent one, and known is the latest owners record that it knows, if any.
-func (k *Keeper) requestYield(ctx context.Context, d follow.Daemon, r *yieldRequest) (lastGrantAt time.Time, known *catalog.Owners, confirmed bool) {
+// which it may have sent one.
+func (k *Keeper) requestYield(ctx context.Context, d follow.Daemon, r *yieldRequest) (lastGrantAt time.Time, confirmed bool) {
 	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
 	defer cancel()
 	response, err := k.yield(ctx, d, r)
-	endedSince := k.noteCall(d, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return endedSince, nil, true // its process has ended
+		return time.Now(), true // its process has ended
 	}
 	if err != nil {
 		k.log.Info("earlier keeper did not confirm that it stepped down", zap.String("peer", string(d.Name)), zap.String("service", string(r.Service)), zap.Error(err))
-		return time.Time{}, nil, false
+		return time.Time{}, false
 	}
-	known = &catalog.Owners{Position: platform.Position{Era: response.Era}, Term: response.Term}
-	return response.lastGrantAt(time.Now()), known, true
+	return response.lastGrantAt(time.Now()), true
 }
 
 func (k *Keeper) yieldDaemon(ctx context.Context, d follow.Daemon, r *yieldRequest) (*yieldResponse, error) {
