--- a/internal/coordinator/outage_test.go
+++ b/internal/coordinator/outage_test.go
@@ -30,20 +30,28 @@
 }`
 )
 
-// TestKeyThatMovesIsServedWhileTheStoreIsDown guards against a move that began before an
-// outage of the store and leaves its keys without a server until the store is back.
-func TestKeyThatMovesIsServedWhileTheStoreIsDown(t *testing.T) {
+// startOutageFleet starts daemons and servers with outageSettings and waits until all are ready.
+func startOutageFleet(t *testing.T, daemons, servers int) *fleet.Fleet {
 	f, err := fleet.Start(fleet.Options{
 		Settings: []byte(outageSettings),
 		Zones:    []model.Zone{"a"},
-		Daemons:  3,
-		Servers:  []fleet.PoolServers{{Pool: "drafts", Count: 2}},
+		Daemons:  daemons,
+		Servers:  []fleet.PoolServers{{Pool: "drafts", Count: servers}},
 	})
 	must.NoError(t, err)
-	defer f.Close()
+	t.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	must.NoError(t, f.WaitReady(ctx))
+	return f
+}
+
+// TestKeyThatMovesIsServedWhileTheStoreIsDown guards against a move that began before an
+// outage of the store and leaves its keys without a server until the store is back.
+func TestKeyThatMovesIsServedWhileTheStoreIsDown(t *testing.T) {
+	f := startOutageFleet(t, 3, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
 	owner := serverNamed(f, readKey(t, f).server)
 
 	// A request that runs at the owner delays the end of the move.
--- a/internal/coordinator/restored_test.go
+++ b/internal/coordinator/restored_test.go
@@ -32,17 +32,7 @@
 // daemons ignore after the store came back from an older copy, because it gives out the
 // numbers of lost versions again: keys stay at a server that was killed.
 func TestServerLostAfterTheStoreIsRestored(t *testing.T) {
-	f, err := fleet.Start(fleet.Options{
-		Settings: []byte(outageSettings),
-		Zones:    []model.Zone{"a"},
-		Daemons:  3,
-		Servers:  []fleet.PoolServers{{Pool: "drafts", Count: 3}},
-	})
-	must.NoError(t, err)
-	defer f.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	must.NoError(t, f.WaitReady(ctx))
+	f := startOutageFleet(t, 3, 3)
 	copied := time.Now()
 
 	first := readKey(t, f).server
@@ -83,17 +73,7 @@
 // server, when the coordinator ends and the store comes back from a copy that lacks its
 // latest writes: nobody holds a lease of the new era then.
 func TestCoordinatorLostWithTheStore(t *testing.T) {
-	f, err := fleet.Start(fleet.Options{
-		Settings: []byte(outageSettings),
-		Zones:    []model.Zone{"a"},
-		Daemons:  4,
-		Servers:  []fleet.PoolServers{{Pool: "drafts", Count: 3}},
-	})
-	must.NoError(t, err)
-	defer f.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	must.NoError(t, f.WaitReady(ctx))
+	f := startOutageFleet(t, 4, 3)
 	copied := time.Now()
 
 	first := readKey(t, f).server
