keeper: this keeper's grants don't expire with those of an earlier one

Cause: one time said by when all grants of a server have expired, those of an earlier keeper and of this one.

Change: the two times are kept apart (grantExpiry); only the earlier keeper's is set back. A grant without an answer blocks moves until it has expired itself, not until those of an earlier keeper have.

--- a/internal/keeper/due.go
+++ b/internal/keeper/due.go
@@ -87,7 +87,7 @@
 	h := s.holders[r.Server]
 	earlierProcessUntil := s.earlierGrantsUntil
 	if h != nil && h.server.StartedMS != r.StartedMS {
-		earlierProcessUntil = h.earlierProcessUntil
+		earlierProcessUntil = h.earlierProcess.last()
 		h = nil
 	}
 	switch {
--- a/internal/keeper/failure.go
+++ b/internal/keeper/failure.go
@@ -56,7 +56,7 @@
 	}
 	h.loggedFailure, h.failureLoggedAt = failure.Error(), time.Now()
 	s.log.Warn("server does not accept its grants", zap.String("server", string(h.server.ID)),
-		zap.Duration("for", time.Since(h.failingSince)), zap.Bool("ended", h.ended), zap.Time("held_until", h.heldUntil), zap.Error(failure))
+		zap.Duration("for", time.Since(h.failingSince)), zap.Bool("ended", h.ended), zap.Time("held_until", h.held.last()), zap.Error(failure))
 }
 
 // refence allows grants to a server again. If the connections to its process were
@@ -82,7 +82,7 @@
 // that are no longer registered. s.mu must be held.
 func (s *serviceKeeper) checkNonOwners(snapshot *catalog.Snapshot, owning map[model.ServerID]bool, now time.Time) {
 	for id, h := range s.holders {
-		if owning[id] || h.inFlight > 0 || !h.holdsNothing(now) || now.Before(h.earlierProcessUntil) {
+		if owning[id] || h.inFlight > 0 || !h.holdsNothing(now) || now.Before(h.earlierProcess.last()) {
 			continue
 		}
 		registered := snapshot.Servers[id]
--- a/internal/keeper/holder.go
+++ b/internal/keeper/holder.go
@@ -39,12 +39,11 @@
 	releases   chan struct{}
 	inFlight   int       // calls of grants and probes in progress
 	nextCallAt time.Time // earliest time of the next renewal or probe
-	// heldUntil is the time by which every grant that the server may have received
-	// has expired.
-	heldUntil time.Time
-	// earlierProcessUntil is the same time for grants that were sent to earlier
-	// processes under the same id. One of them may have reached this process.
-	earlierProcessUntil time.Time
+	// held is the expiry of the grants that the server may have received.
+	held grantExpiry
+	// earlierProcess is that of the grants that were sent to earlier processes under the
+	// same id. One of them may have reached this process.
+	earlierProcess grantExpiry
 	// unansweredUntil is the time until which a grant that was not answered may still
 	// take effect.
 	unansweredUntil time.Time
@@ -69,8 +68,33 @@
 	failureLoggedAt time.Time
 }
 
-func newHolder(server *catalog.Server, client serverClient, heldUntil time.Time) *holder {
-	return &holder{server: server, client: client, releases: make(chan struct{}, maxConcurrentReleases), heldUntil: heldUntil}
+func newHolder(server *catalog.Server, client serverClient, earlierKeeperUntil time.Time) *holder {
+	return &holder{
+		server: server, client: client, releases: make(chan struct{}, maxConcurrentReleases),
+		held: grantExpiry{earlierKeeper: earlierKeeperUntil},
+	}
+}
+
+// grantExpiry is the time by which grants have certainly expired. Those of an earlier keeper
+// and those of this one are kept apart, since the former may turn out to expire sooner.
+type grantExpiry struct {
+	earlierKeeper time.Time
+	own           time.Time
+}
+
+// last returns the time by which all of the grants have expired.
+func (e grantExpiry) last() time.Time { return later(e.earlierKeeper, e.own) }
+
+// with returns the expiry of the grants of both.
+func (e grantExpiry) with(other grantExpiry) grantExpiry {
+	return grantExpiry{earlierKeeper: later(e.earlierKeeper, other.earlierKeeper), own: later(e.own, other.own)}
+}
+
+// endEarlier records that the grants of earlier keepers expire at the given time at the latest.
+func (e *grantExpiry) endEarlier(at time.Time) {
+	if at.Before(e.earlierKeeper) {
+		e.earlierKeeper = at
+	}
 }
 
 // later returns the later of two times.
@@ -84,12 +108,12 @@
 // recordSent records a grant whose call ended at the given time. The server may have
 // received it at any time before, or within maxCallDelay after.
 func (h *holder) recordSent(callEnded time.Time, hold time.Duration) {
-	h.heldUntil = later(h.heldUntil, callEnded.Add(maxGrantLifetime(hold)))
+	h.held.own = later(h.held.own, callEnded.Add(maxGrantLifetime(hold)))
 }
 
 // holdsNothing reports whether the server certainly holds no keys.
 func (h *holder) holdsNothing(now time.Time) bool {
-	return h.ended || (h.inFlight == 0 && now.After(h.heldUntil))
+	return h.ended || (h.inFlight == 0 && now.After(h.held.last()))
 }
 
 // failing reports whether the server does not accept its grants.
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -203,7 +203,7 @@
 	h.releases <- struct{}{}
 	defer func() { <-h.releases }()
 	s.mu.Lock()
-	fence, heldUntil, earlierReleasesUntil := s.fenceOf(m.From), h.heldUntil, s.earlierReleasesUntil
+	fence, heldUntil, earlierReleasesUntil := s.fenceOf(m.From), h.held.last(), s.earlierReleasesUntil
 	s.mu.Unlock()
 	result := s.clientOf(h).release(s.ctx, max(time.Until(heldUntil), minReleaseTimeout), m.From, m.To, fence)
 	switch {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -72,13 +72,13 @@
 
 // addHolder returns a new holder for a process of a server, and replaces that of an
 // earlier process. s.mu must be held.
-func (s *serviceKeeper) addHolder(server *catalog.Server, heldUntil time.Time) *holder {
-	h := newHolder(server, s.keeper.newServerClient(server), heldUntil)
-	h.earlierProcessUntil = s.earlierGrantsUntil
+func (s *serviceKeeper) addHolder(server *catalog.Server, earlierKeeperUntil time.Time) *holder {
+	h := newHolder(server, s.keeper.newServerClient(server), earlierKeeperUntil)
+	h.earlierProcess.earlierKeeper = s.earlierGrantsUntil
 	if earlier := s.holders[server.ID]; earlier != nil {
-		h.earlierProcessUntil = later(earlier.heldUntil, earlier.earlierProcessUntil)
+		h.earlierProcess = earlier.held.with(earlier.earlierProcess)
 		if earlier.inFlight > 0 {
-			h.earlierProcessUntil = later(h.earlierProcessUntil, time.Now().Add(grantTimeout+maxGrantLifetime(s.keeper.grantHold())))
+			h.earlierProcess.own = later(h.earlierProcess.own, time.Now().Add(grantTimeout+maxGrantLifetime(s.keeper.grantHold())))
 		}
 	}
 	s.holders[server.ID] = h
@@ -190,10 +190,10 @@
 		h.recordSent(time.Now(), hold)
 		if current := s.holders[h.server.ID]; current != nil && current != h {
 			// The process was replaced during the call, which may have reached the new one.
-			current.earlierProcessUntil = later(current.earlierProcessUntil, h.heldUntil)
+			current.earlierProcess = current.earlierProcess.with(h.held)
 		}
 		if outcome == dialect.GrantUnknown {
-			h.unansweredUntil = h.heldUntil
+			h.unansweredUntil = h.held.own
 		}
 	}
 	s.mu.Unlock()
--- a/internal/keeper/servicekeeper.go
+++ b/internal/keeper/servicekeeper.go
@@ -128,12 +128,8 @@
 	s.earlierReleasesUntil = time.Time{}
 	for _, h := range s.holders {
 		h.acceptedGrants = false // the next grant restores what the earlier keeper made the server release
-		if h.heldUntil.Equal(s.earlierGrantsUntil) {
-			h.heldUntil = until
-		}
-		if h.earlierProcessUntil.Equal(s.earlierGrantsUntil) {
-			h.earlierProcessUntil = until
-		}
+		h.held.endEarlier(until)
+		h.earlierProcess.endEarlier(until)
 	}
 	s.earlierGrantsUntil = until
 }
