poison: daemons tell each other that a suspected request completed

Cause: in fleets whose servers check grants, crashes are told to all daemons, clearances to none: their replicator is not started, so that the pushes that Clear schedules are never sent. A daemon that had no copy of a popular request in the last 30 s (it had restarted) held it for the cause of the two crashes that the others had reported, rejected each copy, and so never saw one complete, for ten minutes.

Change: a daemon on which a request completes that was at two crashes or more tells all others, after up to 0.5 s at random and only if nobody has done so by then. It clears them of the crashes before. Recorded form: completed. Earlier builds take it for the clearance of no crash.

A request that crashes its servers never completes and is stopped as before (tests of internal/poison, scenario request_poison).

Conclusion: what remains is a daemon that misses the announcement, for ten minutes.

--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -12,7 +12,9 @@
 //
 // A request that many callers send alike is running at many crashes by chance. So a
 // request is also cleared while a copy of it completed within completionsMemory, and
-// a third crash is needed for a rejection while servers crash in a herd.
+// a third crash is needed for a rejection while servers crash in a herd. The completion of
+// a request that was at two crashes is told to all daemons: one that had no copy of it
+// lately would reject each copy, and never see one complete.
 //
 // Crashes and clearances are shared among all daemons.
 package poison
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -85,6 +85,7 @@
 	cleared       map[clearance]time.Time   // when each clearance was made
 	byFingerprint map[Fingerprint][]CrashID // known crashes at which each request was running
 	completed     *completions
+	announced     map[Fingerprint]time.Time // when this daemon last heard that a request completed on some daemon
 }
 
 func newLedger() *ledger {
@@ -93,6 +94,7 @@
 		cleared:       map[clearance]time.Time{},
 		byFingerprint: map[Fingerprint][]CrashID{},
 		completed:     newCompletions(),
+		announced:     map[Fingerprint]time.Time{},
 	}
 }
 
@@ -115,7 +117,19 @@
 
 func (l *ledger) clear(c clearance, now time.Time) { l.cleared[c] = now }
 
-// expire removes crashes and clearances older than ExpiryPeriod.
+// completedElsewhere clears a request that completed on some daemon from the crashes before
+// that. at is the time of the completion by that daemon's clock.
+func (l *ledger) completedElsewhere(f Fingerprint, at, now time.Time) {
+	l.announced[f] = now
+	l.completed.add(f, now)
+	for _, c := range l.uncleared(f) {
+		if !c.At.After(at) {
+			l.clear(clearance{c.ID, f}, now)
+		}
+	}
+}
+
+// expire removes crashes, clearances and announcements older than ExpiryPeriod.
 func (l *ledger) expire(now time.Time) {
 	for len(l.arrivalOrder) > 0 && now.Sub(l.crashes[l.arrivalOrder[0]].At) > ExpiryPeriod {
 		l.remove(l.arrivalOrder[0])
@@ -125,6 +139,11 @@
 			delete(l.cleared, c)
 		}
 	}
+	for f, at := range l.announced {
+		if now.Sub(at) > ExpiryPeriod {
+			delete(l.announced, f)
+		}
+	}
 }
 
 // remove removes a crash, which must be the one that arrived first.
@@ -145,6 +164,15 @@
 	l.arrivalOrder = l.arrivalOrder[1:]
 }
 
+// known returns all crashes at which a request was running.
+func (l *ledger) known(f Fingerprint) []*Crash {
+	var crashes []*Crash
+	for _, id := range l.byFingerprint[f] {
+		crashes = append(crashes, l.crashes[id])
+	}
+	return crashes
+}
+
 // uncleared returns the crashes at which a request was running and of which it is
 // not cleared.
 func (l *ledger) uncleared(f Fingerprint) []*Crash {
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/chicorylug/chicorylug/internal/model"
 )
 
 // TestMain sets a fixed seed for the property tests.
@@ -124,3 +126,19 @@
 	must.MapEmpty(t, l.byFingerprint)
 	must.Eq(t, Allow, l.decide(20, now))
 }
+
+// A completion that is announced says nothing about crashes after it.
+func TestAnnouncedCompletionClearsEarlierCrashesOnly(t *testing.T) {
+	const f Fingerprint = 1
+	l := newLedger()
+	for i, at := range []time.Time{now, now.Add(time.Second), now.Add(time.Minute), now.Add(time.Minute + time.Second)} {
+		id := CrashID(fmt.Sprint(i))
+		l.addCrash(&Crash{ID: id, Server: model.ServerRef{Server: model.ServerID(id)}, StartedMS: int64(i + 1), At: at, Running: []Fingerprint{f}}, at)
+	}
+	later := now.Add(2 * time.Minute)
+	must.Eq(t, Reject, l.decide(f, later))
+	l.completedElsewhere(f, now.Add(2*time.Second), now.Add(2*time.Second))
+	must.Eq(t, Reject, l.decide(f, later))
+	l.completedElsewhere(f, later, later)
+	must.Eq(t, Allow, l.decide(f, later.Add(time.Hour)))
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,14 +20,18 @@
 // TopicName is the topic under which package spread shares crashes and clearances.
 const TopicName spread.TopicName = "poison"
 
-// record is the encoded value of one item of the topic: a crash, or the clearance of
-// a request from one. The encoded name "death" of a crash is kept for daemons of other
-// builds.
+// maxAnnounceDelay bounds the time after which the completion of a request is announced.
+const maxAnnounceDelay = 500 * time.Millisecond
+
+// record is the encoded value of one item of the topic: a crash, the clearance of a
+// request from one, or the completion of a request, which clears it from all earlier ones.
+// The encoded name "death" of a crash is kept for daemons of other builds.
 type record struct {
 	Crash       *Crash      `json:"death,omitempty"`
 	Cleared     CrashID     `json:"cleared,omitempty"`
+	Completed   bool        `json:"completed,omitempty"`
 	Fingerprint Fingerprint `json:"fingerprint,omitempty"`
-	At          time.Time   `json:"at"` // time of the crash or the clearance
+	At          time.Time   `json:"at"` // time of the crash, the clearance or the completion
 }
 
 // Table holds the crashes and clearances that this daemon has recorded itself or
@@ -99,9 +104,40 @@
 	t.mu.Lock()
 	t.completed.add(f, now)
 	t.mu.Unlock()
-	for _, id := range t.toClear(f, reported) {
+	ids := t.toClear(f, reported)
+	for _, id := range ids {
 		t.publish(fmt.Sprintf("clear/%s/%x", id, uint64(f)), &record{Cleared: id, Fingerprint: f, At: now})
 	}
+	if len(ids) > 0 && t.mayBeRejected(f) {
+		t.announceCompletion(f, now)
+	}
+}
+
+// mayBeRejected reports whether a daemon on which the request did not complete may reject it.
+func (t *Table) mayBeRejected(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return processes(t.known(f)) >= crashesToReject
+}
+
+// announceCompletion tells all other daemons that a request completed. It does so after a
+// random time, unless another daemon has done it by then: many may be able to.
+func (t *Table) announceCompletion(f Fingerprint, now time.Time) {
+	time.AfterFunc(rand.N(maxAnnounceDelay), func() {
+		if t.announcedSince(f, now) {
+			return
+		}
+		if item, ok := t.store("completed/"+uuid.NewString(), &record{Completed: true, Fingerprint: f, At: now}); ok {
+			t.spread.Broadcast(context.Background(), TopicName, item)
+		}
+	})
+}
+
+// announcedSince reports whether a completion of the request was announced after a time.
+func (t *Table) announcedSince(f Fingerprint, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.announced[f].After(at)
 }
 
 // toClear returns the crashes of which a request is to be cleared.
@@ -152,9 +188,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Crash != nil {
+	switch {
+	case r.Crash != nil:
 		t.addCrash(r.Crash, time.Now())
-	} else {
+	case r.Completed:
+		t.completedElsewhere(r.Fingerprint, r.At, time.Now())
+	default:
 		t.clear(clearance{r.Cleared, r.Fingerprint}, r.At)
 	}
 	t.nonEmpty.Store(true)
