--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -54,7 +54,9 @@
 func (l *Limiter) Acquire(ctx context.Context, r *Request) (permit *Permit, retryAfter time.Duration) {
 	l.mu.Lock()
 	s := l.service(r.Service)
+	before := s.limit
 	admitted, queued := s.acquire(r.Rank, time.Now())
+	l.logChange(r.Service, s, before)
 	if !admitted && queued == nil {
 		defer l.mu.Unlock()
 		return nil, s.expectedWait(r.Rank)
