--- a/internal/backends/gate.go
+++ b/internal/backends/gate.go
@@ -83,7 +83,8 @@
 }
 
 // registeredAsLeaving reports whether the server, which may have been chosen from an earlier
-// snapshot, has been registered as leaving for too long, or is gone.
+// snapshot, has been registered as leaving for too long, or is gone. A catalog without any
+// servers says nothing: it has not been read yet.
 func (b *Backends) registeredAsLeaving(server *catalog.Server, now time.Time) bool {
 	servers := b.catalog.Load().Servers
 	current, registered := servers[server.ID]
--- a/internal/config/shutdown.go
+++ b/internal/config/shutdown.go
@@ -5,10 +5,10 @@
 // Bounds of a Shutdown, for grace periods that leave enough time. Shorter ones have the same
 // parts as one of 6 s.
 const (
-	maxAcceptTime  = 2500 * time.Millisecond
-	maxNoticeTime  = 3500 * time.Millisecond
-	maxEndTime     = 700 * time.Millisecond
-	maxAnswersTime = 200 * time.Millisecond
+	maxAcceptTime  = 2500 * time.Millisecond // of Refuse
+	maxNoticeTime  = 3500 * time.Millisecond // of Noticed
+	maxEndTime     = 700 * time.Millisecond  // from End to the end of the grace period
+	maxAnswersTime = 200 * time.Millisecond  // of LastAnswers
 )
 
 // Shutdown holds the steps of a fenced daemon's shutdown. All but LastAnswers are times after
--- a/internal/follow/storeturn.go
+++ b/internal/follow/storeturn.go
@@ -18,8 +18,8 @@
 
 // storeTurn decides when a daemon that is not designated calls the store itself, as no other
 // daemon that it polls is usable. If the designated ones say that they do not reach the store,
-// that is most likely down for all, and a large fleet must not fall upon it when it returns:
-// the larger the fleet, the later the first call, at random. The pauses after failed calls grow.
+// that is most likely down for all, and a large fleet must not call it all at once when it
+// returns: the larger the fleet, the later the first call, at random. The pauses after failed calls grow.
 // The zero value is ready to use.
 type storeTurn struct {
 	storeless bool          // the designated daemons do not reach the store
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -210,8 +210,8 @@
 	return nil
 }
 
-// mayBeInForce reports whether a server may hold keys by a grant that was answered, or not
-// answered, like this.
+// mayBeInForce reports whether a server may hold keys by a grant with this outcome. An answer
+// that turns the grant away decides, whichever server it comes from.
 func mayBeInForce(outcome dialect.GrantOutcome, r callResult) bool {
 	if outcome != dialect.GrantAccepted && outcome != dialect.GrantUnknown {
 		return false
