review: case 3, a daemon that once had no descriptor left takes no new connection again

Cause: the first failed accept ends the HTTP server of callers; the daemon stays ready. Nothing is mended.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"extra-rejection": extraRejection,
 	"extra-release":   extraRelease,
+	"descriptors":     descriptors,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
