review: case 4, uploads in chunks exceed the memory of a daemon

Cause: the memory of a body in chunks is reserved only after it has been read as a whole. Nothing is mended.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,6 +22,7 @@
 	"extra-rejection": extraRejection,
 	"extra-release":   extraRelease,
 	"descriptors":     descriptors,
+	"memory":          memory,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
