review: case 3, no keeper is left once machines were replaced for good

Cause: records of removed daemons stay and keep their places among the designated ones, of which alone the keeper is chosen. Nothing is mended.

--- a/review/cases/caller.go
+++ b/review/cases/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +15,7 @@
 	bench    *bench
 	method   string
 	prefix   string
+	phase    string // of the case; attempt ids begin with it
 	keyed    bool
 	perS     int
 	deadline time.Duration
@@ -33,8 +33,9 @@
 	for time.Now().Before(end) {
 		<-ticker.C
 		l.sent++
-		id := fmt.Sprintf("%016x", rand.Uint64())
-		to := l.bench.daemons[l.sent%len(l.bench.daemons)]
+		id := l.phase + newID()
+		daemons := l.bench.inRotation()
+		to := daemons[l.sent%len(daemons)]
 		key := l.nextKey()
 		l.requests.Go(func() { l.send(id, to, key) })
 	}
--- a/review/cases/daemon.go
+++ b/review/cases/daemon.go
@@ -30,19 +30,19 @@
 	file      string // of the settings
 	process   *exec.Cmd
 	ended     chan struct{} // closed when process has ended
+	removed   bool          // the balancer sends it no more consumers
 }
 
-// addDaemons prepares daemons of one zone, which know each other's control addresses,
-// and starts them.
+// maxSeeds is the number of machines that a daemon's settings name as seeds.
+const maxSeeds = 3
+
+// addDaemons prepares daemons of one zone and starts them. The first ones are the seeds.
 func (b *bench) addDaemons(count int) error {
-	var seeds []string
 	for i := range count {
-		d := &daemon{bench: b, name: fmt.Sprintf("edge-%d", i+1), callers: b.freeAddress(), readiness: b.freeAddress(), control: b.freeAddress()}
-		seeds = append(seeds, d.control)
-		b.daemons = append(b.daemons, d)
+		b.daemons = append(b.daemons, b.newDaemon(fmt.Sprintf("edge-%d", i+1)))
 	}
 	for _, d := range b.daemons {
-		if err := d.writeSettings(seeds); err != nil {
+		if err := d.writeSettings(b.seeds()); err != nil {
 			return err
 		}
 		if err := d.start(); err != nil {
@@ -52,6 +52,54 @@
 	return nil
 }
 
+func (b *bench) newDaemon(name string) *daemon {
+	return &daemon{bench: b, name: name, callers: b.freeAddress(), readiness: b.freeAddress(), control: b.freeAddress()}
+}
+
+// seeds returns the control addresses of the first daemons that are not removed.
+func (b *bench) seeds() []string {
+	var seeds []string
+	for _, d := range b.daemons {
+		if !d.removed && len(seeds) < maxSeeds {
+			seeds = append(seeds, d.control)
+		}
+	}
+	return seeds
+}
+
+// addMachine starts a daemon on a new machine and waits until it is ready.
+func (b *bench) addMachine(name string) error {
+	d := b.newDaemon(name)
+	if err := d.writeSettings(b.seeds()); err != nil {
+		return err
+	}
+	if err := d.start(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(5 * time.Second); !d.isReady(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s is not ready", name)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.daemons = append(b.daemons, d)
+	return nil
+}
+
+// inRotation returns the daemons to which the balancer sends consumers.
+func (b *bench) inRotation() []*daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*daemon
+	for _, d := range b.daemons {
+		if !d.removed {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // writeSettings writes the settings as the template of the deploy file has them.
 func (d *daemon) writeSettings(seeds []string) error {
 	d.file = filepath.Join(d.bench.dir, d.name+".json")
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -23,6 +23,7 @@
 	"extra-release":   extraRelease,
 	"descriptors":     descriptors,
 	"memory":          memory,
+	"replaced":        replaced,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
