--- a/review/cases/caller.go
+++ b/review/cases/caller.go
@@ -20,6 +20,7 @@
 	perS     int
 	deadline time.Duration
 	bodySize int
+	onSend   func(id string) // called before each request is sent; nil for none
 
 	requests sync.WaitGroup
 	sent     int
@@ -72,6 +73,9 @@
 	}
 	client := http.Client{Timeout: l.deadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	l.bench.record("caller: sends %s to %s, key %d", id, to.name, key)
+	if l.onSend != nil {
+		l.onSend(id)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		l.bench.ledger.answered(id, 0)
--- a/review/cases/ledger.go
+++ b/review/cases/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -100,6 +101,18 @@
 	}
 }
 
+// lastAt returns the request that a server was the last one to begin of those that end servers.
+func (l *ledger) lastAt(server string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, servers := range l.runs {
+		if strings.HasPrefix(id, "crash-") && slices.Contains(servers, server) {
+			return id
+		}
+	}
+	return ""
+}
+
 // ranAt returns the servers that began a request.
 func (l *ledger) ranAt(id string) []string {
 	l.mu.Lock()
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,6 +24,9 @@
 	"descriptors":     descriptors,
 	"memory":          memory,
 	"replaced":        replaced,
+	"crashing":        crashing,
+	"frozen":          frozen,
+	"downloads":       downloads,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/cases/target.go
+++ b/review/cases/target.go
@@ -30,11 +30,15 @@
 	keyed    bool
 	slots    int
 	workTime time.Duration
-	born     int64
-	listener net.Listener
+	// bodyBytes is the size of an answer; 0 for a short text.
+	bodyBytes int
+	born      int64
+	listener  net.Listener
 	// copies says for which answers an extra copy follows late: at the point where the next
 	// answer on the connection is expected. Nil for none.
 	copies func(path string, status int) bool
+	// crashes says which requests end the process when it begins them. Nil for none.
+	crashes func(path string) bool
 
 	mu           sync.Mutex
 	up           bool
@@ -64,6 +68,8 @@
 	slots       int
 	workTime    time.Duration
 	copies      func(path string, status int) bool
+	crashes     func(path string) bool
+	bodyBytes   int // of an answer; 0 for a short text
 }
 
 // addTarget starts a server and registers it.
@@ -73,7 +79,8 @@
 		return nil, err
 	}
 	t := &target{
-		bench: b, id: o.id, service: o.service, keyed: o.keyed, slots: o.slots, workTime: o.workTime, copies: o.copies,
+		bench: b, id: o.id, service: o.service, keyed: o.keyed, slots: o.slots, workTime: o.workTime,
+		copies: o.copies, crashes: o.crashes, bodyBytes: o.bodyBytes,
 		born: time.Now().UnixMilli(), listener: listener, up: true, state: "ready", runningByKey: map[int]int{}, conns: map[net.Conn]bool{},
 	}
 	b.mu.Lock()
@@ -288,12 +295,19 @@
 	t.mu.Unlock()
 	t.bench.ledger.runStarted(id, t.id)
 	t.bench.record("%s: runs %s, key %d", t.id, id, key)
+	if t.crashes != nil && t.crashes(r.URL.Path) {
+		t.crash()
+		t.bench.record("%s: %s ended the process", t.id, id)
+	}
 	time.Sleep(t.workTime)
 	t.mu.Lock()
 	t.running--
 	t.runningByKey[key]--
 	t.mu.Unlock()
 	a := answer{status: http.StatusOK, header: http.Header{}, body: fmt.Sprintf("%s %s %s %d", t.id, r.Method, r.URL.Path, length)}
+	if t.bodyBytes > 0 {
+		a.body = strings.Repeat("x", t.bodyBytes)
+	}
 	a.header.Set("Chicorylug-Server-Signature", "signed."+id)
 	a.header.Set("Chicorylug-Instance-Load", load)
 	return a
