--- a/review/cases/crashing.go
+++ b/review/cases/crashing.go
@@ -37,7 +37,6 @@
 	crashedAt []time.Time
 	counted   int // arrivals that BUDGET counts
 	serial    int // of the last server
-	stopped   bool
 }
 
 // addServer starts a server that ends when it begins the crashing request, and that returns
