--- a/review/cases/restarts.go
+++ b/review/cases/restarts.go
@@ -121,8 +121,8 @@
 
 // restarts: callers fetch large answers while the machines are stopped and started in turn.
 func restarts(b *bench, trouble bool) ([]string, error) {
-	s := service{Name: "archive", HealthPath: "/healthz", MaxConnections: 303}
-	r := route{Name: "r1", Prefix: "/d/", Type: "safe", Service: "archive", TimeoutS: 10, SloLatencyS: 5, Priority: 2, MaxAttempts: 2}
+	s := service{Name: "climate-log", HealthPath: "/healthz", MaxConnections: 121}
+	r := route{Name: "r1", Prefix: "/d/", Type: "safe", Service: s.Name, TimeoutS: 10, SloLatencyS: 5, Priority: 2, MaxAttempts: 2}
 	if err := b.configure(3, []service{s}, []route{r}); err != nil {
 		return nil, err
 	}
