--- a/review/cases/replaced.go
+++ b/review/cases/replaced.go
@@ -16,8 +16,8 @@
 // Planned work, final fault and traffic of the case replaced.
 const (
 	machines      = 6
-	replacements  = 3
-	replacePeriod = 6 * time.Second
+	replacements  = 6 // at most
+	replacePeriod = 5 * time.Second
 	finalDelay    = 200 * time.Millisecond  // from the last SIGTERM to the final fault
 	downTime      = 1400 * time.Millisecond // of the final fault
 	recoverTime   = 15 * time.Second        // RecoverS
@@ -41,6 +41,12 @@
 	return string(owners.Keeper)
 }
 
+// keeperRuns reports whether the machine that the store records as the keeper is in rotation.
+func (b *bench) keeperRuns() bool {
+	name := b.keeperName()
+	return slices.ContainsFunc(b.inRotation(), func(d *daemon) bool { return d.name == name })
+}
+
 // replaceKeeper replaces the machine of the keeper for good: a new one comes first, at other
 // addresses, then the old one gets SIGTERM and never returns. With the same set, the machine
 // itself starts again instead.
@@ -109,14 +115,8 @@
 	after := &load{bench: b, method: http.MethodGet, prefix: "/k/", phase: "after-", keyed: true, perS: recoverCallsS, deadline: 3 * time.Second}
 	var traffic sync.WaitGroup
 	traffic.Go(func() { before.run(replacements * replacePeriod) })
-	for number := range replacements {
-		time.Sleep(replacePeriod - time.Second)
-		if err := b.replaceKeeper(number+1, !trouble); err != nil {
-			return nil, err
-		}
-		if number+1 < replacements {
-			time.Sleep(time.Second)
-		}
+	if err := b.replaceInTurn(trouble); err != nil {
+		return nil, err
 	}
 	time.Sleep(finalDelay)
 	if err := b.killAll(); err != nil {
@@ -128,6 +128,23 @@
 	return b.judgeRecovery(), nil
 }
 
+// replaceInTurn replaces the machine that is the keeper, one after the other, until no machine
+// that runs is the keeper. Without trouble, these machines return.
+func (b *bench) replaceInTurn(trouble bool) error {
+	began := time.Now()
+	for number := range replacements {
+		time.Sleep(time.Until(began.Add(time.Duration(number+1)*replacePeriod - time.Second)))
+		if !b.keeperRuns() {
+			b.record("no machine that runs is the keeper")
+			continue
+		}
+		if err := b.replaceKeeper(number+1, !trouble); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // killAll kills all processes. Those of machines in rotation start again; one that is just
 // restarting does so by itself.
 func (b *bench) killAll() error {
