--- a/review/cases/extras.go
+++ b/review/cases/extras.go
@@ -17,12 +17,13 @@
 	serverSlots   = 4
 	serverWork    = 190 * time.Millisecond
 	callsPerS     = 80
+	uploadsPerS   = 100
 	callDeadline  = 4 * time.Second
 )
 
 // playExtras plays traffic over a route of the given kind to the keyed service, whose busy
 // keys change. Copies of some answers of the faulty servers follow late.
-func (b *bench) playExtras(kind, method string, bodySize int, playTime time.Duration, copies func(path string, status int) bool) error {
+func (b *bench) playExtras(kind, method string, bodySize, perS int, playTime time.Duration, copies func(path string, status int) bool) error {
 	r := route{Name: "r1", Prefix: "/r/", Type: kind, Service: keyedService, TimeoutS: 4, SloLatencyS: 0.6, Priority: 1, MaxAttempts: 2}
 	s := service{Name: keyedService, HealthPath: "/healthz", MaxConnections: 121, Sharded: true, WarmS: 5}
 	if err := b.configure(3, []service{s}, []route{r}); err != nil {
@@ -43,7 +44,7 @@
 	if err := b.awaitReady(); err != nil {
 		return err
 	}
-	l := &load{bench: b, method: method, prefix: "/r/", keyed: true, perS: callsPerS, deadline: callDeadline, bodySize: bodySize}
+	l := &load{bench: b, method: method, prefix: "/r/", keyed: true, perS: perS, deadline: callDeadline, bodySize: bodySize}
 	l.run(playTime)
 	b.record("%s", b.ledger.summary())
 	for _, t := range b.targets {
@@ -61,7 +62,7 @@
 	if trouble {
 		copies = func(_ string, status int) bool { return status == http.StatusMisdirectedRequest }
 	}
-	err := b.playExtras("upload", http.MethodPost, 20000, 105*time.Second, copies)
+	err := b.playExtras("upload", http.MethodPost, 20000, uploadsPerS, 105*time.Second, copies)
 	return b.ledger.judgeAtMostOnce(), err
 }
 
@@ -71,6 +72,6 @@
 	if trouble {
 		copies = func(path string, _ int) bool { return path == "/-/release" }
 	}
-	err := b.playExtras("safe", http.MethodGet, 0, 60*time.Second, copies)
+	err := b.playExtras("safe", http.MethodGet, 0, callsPerS, 60*time.Second, copies)
 	return b.ledger.ownership, err
 }
