gateway: send a request again on a connection that did not carry it

Cause: a server answered a request for a key that it did not hold yet with 421. The daemon sent the request again 100 ms later, mostly on the same connection. A late copy of the 421 came where the answer to that send was expected. An answer is matched to its request by the attempt id, which is the caller's and the same in both sends: the copy counted as proof that the second send had not run, so the request was sent a third time, or refused as not run.

Change: each request remembers the connections that carried it, and the pool gives it another one for the next send (idle, or a new one; at the limit of the pool an idle one is closed for it). On a connection that never carried the request, no answer to it can precede its own. The list is bounded by the sends of the request. The stand-in server can send late copies, rejects keys that it owns, and its refusals bear the attempt id like all its answers.

--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -43,6 +43,8 @@
 	Reservation *Reservation
 	Keyed       bool
 	Request     *fasthttp.Request
+	// Carriers are the connections that carried earlier sends of the request.
+	Carriers *httplink.Carriers
 	// Deadline is the time by which the response is needed.
 	Deadline time.Time
 	// MayGiveUp says whether the attempt may still end when the server takes longer than
@@ -148,7 +150,10 @@
 
 // exchange sends the request and reads the response.
 func (b *Backends) exchange(ctx context.Context, e *endpoint, a *Attempt, response *fasthttp.Response) Result {
-	exchange, failure := e.pool.DoIf(ctx, a.Request, response, func() error { return b.mayWrite(a) })
+	exchange, failure := e.pool.DoWith(ctx, a.Request, response, httplink.Options{
+		MayWrite: func() error { return b.mayWrite(a) },
+		Carriers: a.Carriers,
+	})
 	if failure != nil {
 		if failure.Sent {
 			return Result{Execution: MayHaveRun, Sent: true, Err: failure}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -229,6 +229,7 @@
 		Reservation:      reserved,
 		Keyed:            c.keyed,
 		Request:          request,
+		Carriers:         &c.carriers,
 		Deadline:         c.deadline,
 		MayGiveUp:        c.mayGiveUp(),
 		LatencyObjective: c.route.LatencyObjective,
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -16,6 +16,7 @@
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/hop"
+	"github.com/chicorylug/chicorylug/internal/httplink"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/poison"
 	"github.com/chicorylug/chicorylug/internal/reason"
@@ -48,6 +49,7 @@
 	watched *callwatch.Call
 
 	tried        []model.ServerID
+	carriers     httplink.Carriers // connections to servers that carried the request
 	sends        int
 	possibleRuns int            // sends after which the request may have run
 	lastServer   model.ServerID // of the last attempt
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -29,21 +29,30 @@
 	once          sync.Once
 }
 
+// Options are the conditions of an exchange. The zero value has none.
+type Options struct {
+	// MayWrite is called when there is a connection. If it returns an error, nothing is
+	// sent and the exchange fails with it. Nil stands for a function that returns nil.
+	MayWrite func() error
+	// Carriers are the connections that carried earlier sends of the same request. The
+	// exchange uses another one, and adds it. Nil if the request is sent once at most.
+	Carriers *Carriers
+}
+
 // Do sends req once and reads the header of the response into resp. When ctx ends, the
 // connection is closed and the exchange fails. Do never resends a request. If the
 // request's body ends early, its end is not sent, so that the peer cannot take it for
 // complete.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Exchange, *Failure) {
-	return p.DoIf(ctx, req, resp, func() error { return nil })
+	return p.DoWith(ctx, req, resp, Options{})
 }
 
-// DoIf is Do, but calls mayWrite when it has a connection. If mayWrite returns an error,
-// nothing is sent and the exchange fails with it.
-func (p *Pool) DoIf(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, mayWrite func() error) (*Exchange, *Failure) {
+// DoWith is Do under the given conditions.
+func (p *Pool) DoWith(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Options) (*Exchange, *Failure) {
 	if ctx.Err() != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, o.Carriers)
 	if err != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
 	}
@@ -51,10 +60,11 @@
 		p.release(c)
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
-	if err := mayWrite(); err != nil {
+	if err := o.mayWrite(); err != nil {
 		p.release(c)
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
 	}
+	o.Carriers.add(c)
 	c.written, c.writeErr = 0, nil
 	e := &Exchange{pool: p, conn: c, resp: resp, ctx: ctx}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -66,6 +76,13 @@
 	return e, nil
 }
 
+func (o *Options) mayWrite() error {
+	if o.MayWrite == nil {
+		return nil
+	}
+	return o.MayWrite()
+}
+
 // begin sends the request and reads the response header.
 func (e *Exchange) begin(req *fasthttp.Request) *Failure {
 	err := e.write(req)
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -103,11 +104,11 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one. It fails with the
-// cause of ctx's end if ctx ends while a connection is opened.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns an idle connection that is still usable and none of the carriers, or a new
+// one. It fails with the cause of ctx's end if ctx ends while a connection is opened.
+func (p *Pool) acquire(ctx context.Context, carriers *Carriers) (*conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(carriers)
 		if c == nil {
 			break
 		}
@@ -119,17 +120,34 @@
 	return p.dialNew(ctx)
 }
 
-// popIdle returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle() *conn {
+// popIdle returns the most recently used idle connection that is none of the carriers, or nil.
+func (p *Pool) popIdle(carriers *Carriers) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if !carriers.include(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// makeRoom counts a connection that is about to be dialed. At the limit, it closes an idle
+// one in its place; it reports false if there is none.
+func (p *Pool) makeRoom() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.limit {
+		p.open++
+		return true
+	}
 	if len(p.idle) == 0 {
-		return nil
+		return false
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
+	_ = p.idle[0].Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return true
 }
 
 // dialResult is the outcome of opening a connection.
@@ -141,13 +159,9 @@
 // dialNew opens a connection, or returns ErrPoolFull if the limit is reached. If ctx ends
 // meanwhile, the connection becomes an idle one of the pool once it is open.
 func (p *Pool) dialNew(ctx context.Context) (*conn, error) {
-	p.mu.Lock()
-	if p.open >= p.limit {
-		p.mu.Unlock()
+	if !p.makeRoom() {
 		return nil, ErrPoolFull
 	}
-	p.open++
-	p.mu.Unlock()
 	dialed := make(chan dialResult, 1)
 	go func() {
 		raw, err := p.dial(p.address)
--- a/internal/standin/fenced/faults.go
+++ b/internal/standin/fenced/faults.go
@@ -34,6 +34,13 @@
 	// HangWhenFull never answers a request that finds all slots taken, nor any later one
 	// on its connection, instead of shedding it.
 	HangWhenFull bool
+	// RejectKeys is the number of further requests that are rejected as if the server did
+	// not own their keys.
+	RejectKeys int
+	// LateCopies, if set, says for the path of a request and the status of its answer
+	// whether a second copy of the answer follows when the next request arrives on the
+	// connection.
+	LateCopies func(path string, status int) bool
 	// Flood, if set, answers each request with bytes without end of that kind, until the
 	// daemon closes the connection.
 	Flood FloodKind
--- a/internal/standin/fenced/fenced.go
+++ b/internal/standin/fenced/fenced.go
@@ -83,7 +83,7 @@
 		runningByKey: map[int]int{}, conns: map[net.Conn]fasthttp.ConnState{}, runs: map[string]int{},
 	}
 	s.http = &fasthttp.Server{Handler: s.handle, ConnState: s.trackConn, NoDefaultServerHeader: true, Logger: discardLogger{}}
-	go func() { _ = s.http.Serve(listener) }()
+	go func() { _ = s.http.Serve(&lateCopyListener{Listener: listener, server: s}) }()
 	s.register("ready")
 	return s, nil
 }
@@ -130,7 +130,7 @@
 
 // resetConn closes a TCP connection with a reset instead of a regular close.
 func resetConn(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/internal/standin/fenced/requests.go
+++ b/internal/standin/fenced/requests.go
@@ -56,6 +56,7 @@
 // refuse answers that the request was not run.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int) {
 	ctx.SetStatusCode(status)
+	ctx.Response.Header.Set(HeaderAttemptID, string(ctx.Request.Header.Peek(HeaderAttemptID)))
 	ctx.Response.Header.Set(headerNotRun, "1")
 }
 
@@ -74,7 +75,8 @@
 		s.refuse(ctx, fasthttp.StatusServiceUnavailable)
 		return
 	}
-	if s.options.Keyed && (key < 0 || !s.ownsAt(key, time.Now())) {
+	if s.options.Keyed && (key < 0 || !s.ownsAt(key, time.Now()) || f.RejectKeys > 0) {
+		s.faults.RejectKeys = max(f.RejectKeys-1, 0)
 		s.mu.Unlock()
 		s.refuse(ctx, fasthttp.StatusMisdirectedRequest)
 		return
