backends: an answer without a request id counts only on a connection of its own

What callers saw: a request could be refused as not run (503) after it had run (REFUSED).

An answer that stated no id was taken for the answer to whatever request had been sent last on the connection: an earlier rejection, copied late, then rejected another request.

Change: an answer belongs to a request if it states its id, or if it states none and is the first one on its connection, which then carries no other. Otherwise the outcome is unknown. The stand-in server can leave the id out of rejections.

--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -76,6 +76,7 @@
 // Errors of responses.
 var (
 	errWrongRequestID   = errors.New("response carries the ID of another request")
+	errNoRequestID      = errors.New("response carries no request ID and follows others on its connection")
 	errUnsigned         = errors.New("response is not signed by the server")
 	errContentEncoded   = errors.New("response has a content encoding")
 	errResponseTooLarge = errors.New("response body exceeds 16 MiB")
@@ -162,9 +163,9 @@
 	}
 	defer exchange.Close()
 	headers := b.dialect.ReadServerResponse(response)
-	if headers.ID != "" && headers.ID != a.ID {
+	if err := checkAnswers(a.ID, &headers, exchange); err != nil {
 		exchange.Abort()
-		return Result{Execution: MayHaveRun, Sent: true, Err: errWrongRequestID}
+		return Result{Execution: MayHaveRun, Sent: true, Err: err}
 	}
 	pause := b.RecordSigns(a.Server, a.ID, &headers)
 	body, err := b.readBody(exchange)
@@ -182,6 +183,22 @@
 	return b.classify(response, headers, pause)
 }
 
+// checkAnswers returns an error unless a response certainly belongs to the request with the
+// given ID. One that states no ID does only if it is the first one on its connection; none
+// follows it there.
+func checkAnswers(id model.RequestID, headers *dialect.ServerResponse, exchange *httplink.Exchange) error {
+	switch {
+	case headers.ID == id && id != "":
+		return nil
+	case headers.ID != "":
+		return errWrongRequestID
+	case !exchange.First():
+		return errNoRequestID
+	}
+	exchange.DoNotReuse()
+	return nil
+}
+
 // mayWrite returns an error if the attempt's server has said, while the connection was
 // opened, that it leaves or wants no requests for a time.
 func (b *Backends) mayWrite(a *Attempt) error {
--- a/internal/daemon/fenced_latecopy_test.go
+++ b/internal/daemon/fenced_latecopy_test.go
@@ -33,3 +33,24 @@
 	must.Eq(t, 200, book.status)
 	c.checkOwnership()
 }
+
+// A late copy of a rejection that stated no request was taken for the answer to the next
+// request on its connection, which was then refused as not run although it had run.
+func TestLateCopyWithoutAttemptIDRejectsNoOtherRequest(t *testing.T) {
+	c := newCluster(t, 1, 1, 1)
+	server := c.servers[1]
+	rejected := func(_ string, status int) bool { return status == fasthttp.StatusServiceUnavailable }
+	server.SetFaults(fenced.Faults{ShedAll: true, OmitAttemptID: true, LateCopies: rejected})
+	must.Eq(t, 503, c.send(c.daemons[0], "POST", "/seal/x", -1, "order").status)
+	server.SetFaults(fenced.Faults{LateCopies: rejected})
+	c.await("choice of the server", func() error {
+		seal := c.send(c.daemons[0], "POST", "/seal/x", -1, "order")
+		if runs := c.runs(seal.id); seal.status == 503 && runs > 0 {
+			t.Fatalf("refused, and ran %d times", runs)
+		}
+		if seal.status != 200 {
+			return fmt.Errorf("status %d", seal.status)
+		}
+		return nil
+	})
+}
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -25,7 +25,8 @@
 	length        int64       // length of the response body in bytes, or chunked or unframed
 	remaining     int64       // body bytes still expected, or chunked or unframed
 	bodyEnded     bool        // the body was read to its end
-	notReusable   bool        // the request was not sent completely, so the connection cannot be reused
+	notReusable   bool        // the connection cannot be reused: the request was not sent completely, or DoNotReuse was called
+	first         bool        // the connection carried no earlier exchange
 	once          sync.Once
 }
 
@@ -65,8 +66,8 @@
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
 	}
 	o.Carriers.add(c)
-	c.written, c.writeErr = 0, nil
-	e := &Exchange{pool: p, conn: c, resp: resp, ctx: ctx}
+	e := &Exchange{pool: p, conn: c, resp: resp, ctx: ctx, first: !c.used}
+	c.used, c.written, c.writeErr = true, 0, nil
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if failure := e.begin(req); failure != nil {
 		e.stopAfterFunc()
@@ -161,6 +162,13 @@
 	return int64(resp.Header.ContentLength())
 }
 
+// First reports whether the exchange is the first one on its connection: no second answer to
+// an earlier request can come in place of its own.
+func (e *Exchange) First() bool { return e.first }
+
+// DoNotReuse has the connection closed at the end of the exchange.
+func (e *Exchange) DoNotReuse() { e.notReusable = true }
+
 // Length returns the length of the response body in bytes, or a negative number if it
 // is not known before the end of the body.
 func (e *Exchange) Length() int { return int(e.length) }
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -71,6 +71,7 @@
 	net.Conn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
+	used      bool  // an exchange has begun on it
 	written   int64 // bytes written by the current exchange
 	writeErr  error // of the last write
 	idleSince time.Time
--- a/internal/standin/fenced/faults.go
+++ b/internal/standin/fenced/faults.go
@@ -19,6 +19,8 @@
 	PauseAfterRun string
 	// WrongAttemptID sends the attempt id of another request in each response.
 	WrongAttemptID bool
+	// OmitAttemptID leaves the attempt id out of rejections.
+	OmitAttemptID bool
 	// Unframed sends responses without a length, whose end is the end of the connection.
 	Unframed bool
 	// Unresponsive blocks every request, while connections stay open, until it is cleared.
@@ -71,3 +73,9 @@
 	defer s.mu.Unlock()
 	return s.faults.SayLeaving
 }
+
+func (s *Server) omitsAttemptID() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.OmitAttemptID
+}
--- a/internal/standin/fenced/requests.go
+++ b/internal/standin/fenced/requests.go
@@ -56,7 +56,9 @@
 // refuse answers that the request was not run.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int) {
 	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set(HeaderAttemptID, string(ctx.Request.Header.Peek(HeaderAttemptID)))
+	if !s.omitsAttemptID() {
+		ctx.Response.Header.Set(HeaderAttemptID, string(ctx.Request.Header.Peek(HeaderAttemptID)))
+	}
 	ctx.Response.Header.Set(headerNotRun, "1")
 }
 
