keeper: tie the answers to grants, releases and probes to their calls

Its calls bore no id, and their answers were matched to them by the connection alone: a late copy of the answer to a release or a probe counted as that to the next release, a late copy of a refused grant's as that to the next grant.

Change: grants and releases bear an id of their own, which servers repeat in their answers. An answer counts if it repeats the id, or if it states none and is the first one on its connection; that connection then carries no other call. Releases to a server that has not repeated an id yet, and probes, which bear none, use a connection that carried no call before. Else the outcome is unknown, as after a lost answer. Connections to one process (processConns) are replaced after each call if the server repeats no ids.

--- a/internal/keeper/processconns.go
+++ b/internal/keeper/processconns.go
@@ -71,6 +71,10 @@
 		response, result := call(current.pool)
 		if result.err == nil {
 			p.markVerified(current)
+			if result.connSpent {
+				p.drop(current)
+				p.spareDialedAt = time.Time{} // each call takes a connection
+			}
 			return response, result
 		}
 		p.drop(current)
--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -13,6 +15,7 @@
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/httplink"
+	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
 )
 
@@ -41,6 +44,8 @@
 	server  *catalog.Server
 	// backends keeps what responses say about further requests to the server.
 	backends *backends.Backends
+	// repeatsIDs says that the server has repeated the id of a call in a response.
+	repeatsIDs atomic.Bool
 	// grantConns lead to the process that received the first grant, pool to any
 	// process that listens at the address.
 	grantConns *processConns
@@ -70,34 +75,73 @@
 	status int
 	// sent says that the call may have reached the server.
 	sent bool
+	// connSpent says that the connection must not carry another call.
+	connSpent bool
 	// state names what the server handed over in a release; empty if nothing.
 	state string
 	err   error
 }
 
+// call is a call to be made.
+type call struct {
+	// id is set in the request, so that the response can be told from those to other calls.
+	// A call without one is made on a connection of its own.
+	id      model.RequestID
+	timeout time.Duration
+	fill    func(*fasthttp.Request)
+}
+
+// newCallID returns an id that no other call has.
+func newCallID() model.RequestID { return model.RequestID(uuid.NewString()) }
+
+// errOtherCall says that a response belongs to another call, or can't be told from one that does.
+var errOtherCall = errors.New("keeper: response may belong to another call")
+
 // do makes one call. It returns a response, which must be released, only if the result
 // has no error.
-func (c *httpClient) do(ctx context.Context, pool *httplink.Pool, timeout time.Duration, fill func(*fasthttp.Request)) (*fasthttp.Response, callResult) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (c *httpClient) do(ctx context.Context, pool *httplink.Pool, o httplink.Options, k call) (*fasthttp.Response, callResult) {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	fill(request)
+	k.fill(request)
 	request.Header.SetHost(c.server.Address)
+	if k.id != "" {
+		c.dialect.SetCallID(&request.Header, k.id)
+	}
 	response := fasthttp.AcquireResponse()
-	exchange, failure := pool.Do(ctx, request, response)
+	exchange, failure := pool.DoWith(ctx, request, response, o)
 	if failure != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: failure.Sent, err: dialError(failure)}
 	}
 	defer exchange.Close()
+	result := c.readResponse(exchange, response, k.id)
+	if result.err != nil {
+		fasthttp.ReleaseResponse(response)
+		return nil, result
+	}
+	return response, result
+}
+
+// readResponse reads the response to a call to its end.
+func (c *httpClient) readResponse(exchange *httplink.Exchange, response *fasthttp.Response, id model.RequestID) callResult {
 	signs := c.dialect.ReadServerResponse(response)
+	repeated := id != "" && signs.ID == id
+	if !repeated && (signs.ID != "" || !exchange.First()) {
+		exchange.Abort()
+		return callResult{sent: true, err: errOtherCall}
+	}
+	if repeated {
+		c.repeatsIDs.Store(true)
+	} else {
+		exchange.DoNotReuse()
+	}
 	c.backends.RecordSigns(c.server, "", &signs)
 	if err := exchange.Discard(); err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, callResult{sent: true, err: err}
+		return callResult{sent: true, err: err}
 	}
-	return response, callResult{sent: true, status: response.StatusCode()}
+	return callResult{sent: true, status: response.StatusCode(), connSpent: !repeated}
 }
 
 // dialError wraps a refused connection in errNotListening and returns other errors
@@ -118,7 +162,10 @@
 // grant implements serverClient.
 func (c *httpClient) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
 	response, result := c.grantConns.exchange(ctx, func(pool *httplink.Pool) (*fasthttp.Response, callResult) {
-		return c.do(ctx, pool, grantTimeout, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
+		return c.do(ctx, pool, httplink.Options{}, call{
+			id: newCallID(), timeout: grantTimeout,
+			fill: func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) },
+		})
 	})
 	if result.err != nil {
 		return dialect.GrantUnknown, result
@@ -136,7 +183,9 @@
 	if pause := c.backends.Paused(c.server, time.Now()); pause != nil {
 		return pause
 	}
-	response, result := c.do(ctx, c.pool, grantTimeout, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
+	response, result := c.do(ctx, c.pool, httplink.Options{Fresh: true}, call{
+		timeout: grantTimeout, fill: func(r *fasthttp.Request) { r.SetRequestURI(healthPath) },
+	})
 	if result.err != nil {
 		return result.err
 	}
@@ -149,7 +198,10 @@
 
 // release implements serverClient.
 func (c *httpClient) release(ctx context.Context, timeout time.Duration, from, to int, fence catalog.Fence) callResult {
-	response, result := c.do(ctx, c.pool, timeout, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
+	response, result := c.do(ctx, c.pool, httplink.Options{Fresh: !c.repeatsIDs.Load()}, call{
+		id: newCallID(), timeout: timeout,
+		fill: func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) },
+	})
 	if result.err != nil {
 		return result
 	}
--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -1,7 +1,11 @@
 package keeper
 
 import (
+	"bufio"
+	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -16,6 +20,7 @@
 	"github.com/chicorylug/chicorylug/internal/metrics"
 	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
+	adapter "github.com/chicorylug/chicorylug/platform"
 )
 
 // leavingDialect reads each response as one of a server that is leaving.
@@ -25,6 +30,8 @@
 	r.SetRequestURI("/grant")
 }
 
+func (leavingDialect) SetCallID(*fasthttp.RequestHeader, model.RequestID) {}
+
 func (leavingDialect) ReadServerResponse(*fasthttp.Response) dialect.ServerResponse {
 	return dialect.ServerResponse{Leaving: true}
 }
@@ -44,12 +51,123 @@
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut"))
 		_ = conn.Close()
 	}()
-	c := &config.Config{Fenced: &config.Fenced{MemoryMB: 100, DrainSeconds: 2}}
-	b := backends.New(c, nil, nil, catalog.New(), func() int { return 1 }, metrics.New(), zap.NewNop())
 	server := &catalog.Server{ID: "s", Service: "drafts", Address: peer.Addr().String()}
+	b := newTestBackends()
 	client := newHTTPClient(leavingDialect{}, &netx.Network{}, server, b)
 	defer client.close()
 	_, result := client.grant(t.Context(), dialect.Grant{Duration: time.Second})
 	must.Error(t, result.err)
 	must.False(t, b.MayChoose(server, time.Now()))
 }
+
+func newTestBackends() *backends.Backends {
+	c := &config.Config{Fenced: &config.Fenced{MemoryMB: 100, DrainSeconds: 2}}
+	return backends.New(c, nil, nil, catalog.New(), func() int { return 1 }, metrics.New(), zap.NewNop())
+}
+
+// startRepeatingPeer starts a server that answers the calls on each of its connections one
+// after the other, and returns its address. A second copy of each answer comes when the next
+// call on the connection arrives. status returns the status of the answer to a call about the
+// keys from a first one; a release hands over "state-FIRST". With repeatsIDs, the answers bear
+// the ids of their calls.
+func startRepeatingPeer(t *testing.T, repeatsIDs bool, status func(first int) int) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn, repeatsIDs, status)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerTwice(conn net.Conn, repeatsIDs bool, status func(first int) int) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	var last []byte
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		var keys struct{ From int }
+		_ = json.NewDecoder(request.Body).Decode(&keys) // a probe has no body
+		_, _ = conn.Write(last)                         // a failure shows at the next read
+		head := fmt.Sprintf("HTTP/1.1 %d Status\r\nChicorylug-Handover: state-%d\r\nContent-Length: 0\r\n", status(keys.From), keys.From)
+		if id := request.Header.Get("Chicorylug-Attempt-Id"); repeatsIDs && id != "" {
+			head += "Chicorylug-Attempt-Id: " + id + "\r\n"
+		}
+		last = []byte(head + "\r\n")
+		_, _ = conn.Write(last) // the same
+	}
+}
+
+func alwaysOK(int) int { return fasthttp.StatusOK }
+
+// newTestClient returns a client for the server at an address.
+func newTestClient(t *testing.T, address string) *httpClient {
+	server := &catalog.Server{ID: "s", Service: "drafts", Address: address}
+	client := newHTTPClient(&adapter.Dialect{}, &netx.Network{}, server, newTestBackends())
+	t.Cleanup(client.close)
+	return client
+}
+
+// A late copy of the answer to a release was taken for the answer to the next one: the keys
+// went to another server while work on them was still running.
+func TestLateCopyAnswersNoOtherRelease(t *testing.T) {
+	for _, repeatsIDs := range []bool{true, false} {
+		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, alwaysOK))
+		answered := 0
+		for first := range 6 {
+			result := client.release(t.Context(), time.Second, first, first, 7)
+			must.True(t, result.sent)
+			if result.err == nil {
+				must.Eq(t, fmt.Sprintf("state-%d", first), result.state)
+				answered++
+			}
+		}
+		must.Greater(t, 2, answered)
+	}
+}
+
+// A late copy of the answer to a probe was taken for the answer to a release.
+func TestLateCopyOfProbeAnswersNoRelease(t *testing.T) {
+	for _, repeatsIDs := range []bool{true, false} {
+		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, alwaysOK))
+		must.Error(t, client.probe(t.Context(), "/healthz")) // the answer names no server
+		result := client.release(t.Context(), time.Second, 1, 1, 7)
+		must.NoError(t, result.err)
+		must.Eq(t, "state-1", result.state)
+	}
+}
+
+// A late copy of the answer to a refused grant was taken for the answer to the next one: the
+// keeper then took keys for free that the server had been granted.
+func TestLateCopyAnswersNoOtherGrant(t *testing.T) {
+	isRefused := func(first int) bool { return first%3 == 0 }
+	status := func(first int) int {
+		if isRefused(first) {
+			return fasthttp.StatusServiceUnavailable
+		}
+		return fasthttp.StatusOK
+	}
+	for _, repeatsIDs := range []bool{true, false} {
+		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, status))
+		answered := 0
+		for first := range 9 {
+			outcome, result := client.grant(t.Context(), dialect.Grant{From: first, To: first, Fence: 7, Duration: time.Second})
+			if !result.sent {
+				break // no connection to the process is left
+			}
+			must.True(t, isRefused(first) || mayBeInForce(outcome, result), must.Sprintf("keys from %d: %v", first, result.err))
+			must.False(t, isRefused(first) && outcome == dialect.GrantAccepted)
+			answered++
+		}
+		must.Greater(t, 1, answered)
+	}
+}
--- a/internal/standin/fenced/faults.go
+++ b/internal/standin/fenced/faults.go
@@ -19,7 +19,7 @@
 	PauseAfterRun string
 	// WrongAttemptID sends the attempt id of another request in each response.
 	WrongAttemptID bool
-	// OmitAttemptID leaves the attempt id out of rejections.
+	// OmitAttemptID leaves the attempt id out of answers, but for those to requests that ran.
 	OmitAttemptID bool
 	// Unframed sends responses without a length, whose end is the end of the connection.
 	Unframed bool
--- a/internal/standin/fenced/requests.go
+++ b/internal/standin/fenced/requests.go
@@ -18,6 +18,9 @@
 		ctx.Response.Header.Set(headerLeaving, "1")
 	}
 	ctx.Response.Header.Set(headerInstance, s.options.ID)
+	if id := h.Peek(HeaderAttemptID); len(id) > 0 && !s.omitsAttemptID() {
+		ctx.Response.Header.SetBytesV(HeaderAttemptID, id)
+	}
 	if path := string(ctx.Path()); !s.options.Keyed && (path == pathGrant || path == pathRelease) {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest) // whichever server the call is for
 		return
@@ -56,9 +59,6 @@
 // refuse answers that the request was not run.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int) {
 	ctx.SetStatusCode(status)
-	if !s.omitsAttemptID() {
-		ctx.Response.Header.Set(HeaderAttemptID, string(ctx.Request.Header.Peek(HeaderAttemptID)))
-	}
 	ctx.Response.Header.Set(headerNotRun, "1")
 }
 
