gateway: run an upload as configured when its body is complete

Cause: the route was determined when the head of a request had arrived. The body, but for its first 8 KB, was read after that, for up to the request's deadline; the upload then went to the service that the route had had before.

Change: when the body is complete, the daemon checks again whether it may still send requests, and determines the route again if the configuration has changed. Keys of rejected requests no longer count for the balance of load.

--- a/internal/daemon/fenced_test.go
+++ b/internal/daemon/fenced_test.go
@@ -107,6 +107,7 @@
 		"Services": []map[string]any{
 			{"Name": "drafts", "HealthPath": "/healthz", "MaxConnections": 100, "Sharded": true, "WarmS": 1},
 			{"Name": "sealing", "HealthPath": "/healthz", "MaxConnections": 100},
+			{"Name": "archive", "HealthPath": "/healthz", "MaxConnections": 100},
 		},
 		"Limits":       map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
 		"VirtualHosts": []map[string]any{{"Host": host, "Paths": paths}},
--- a/internal/daemon/fenced_upload_test.go
+++ b/internal/daemon/fenced_upload_test.go
@@ -37,3 +37,39 @@
 	must.Less(t, timeout+slack, time.Since(began))
 	must.Eq(t, 0, c.runs("slow"))
 }
+
+// An upload whose head came before a change of its route, and the end of its body later, ran at
+// the route's old service although the daemon had the new configuration.
+func TestUploadRunsAsConfiguredWhenItsBodyIsComplete(t *testing.T) {
+	c := newCluster(t, 1, 1, 1)
+	c.startServer("archive-0", "archive", anyAddress)
+	for number, framing := range []string{"Content-Length: 20000", "Transfer-Encoding: chunked"} {
+		c.configure([]route{{"/plan/", "upload", "sealing", 5}})
+		c.await("the old service", func() error { return c.checkRanAt("seal-0") })
+		conn, err := net.Dial("tcp", c.daemons[0].Config().CallerAddress)
+		must.NoError(t, err)
+		piece, end := strings.Repeat("p", 10_000), ""
+		if number == 1 {
+			piece, end = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece), "0\r\n\r\n"
+		}
+		_, err = fmt.Fprintf(conn, "POST /plan/x HTTP/1.1\r\nHost: %s\r\nChicorylug-Attempt-Id: slow-%d\r\n%s\r\n\r\n%s", host, number, framing, piece)
+		must.NoError(t, err)
+		time.Sleep(100 * time.Millisecond) // the daemon has read the head
+		c.configure([]route{{"/plan/", "upload", "archive", 5}})
+		c.await("the new service", func() error { return c.checkRanAt("archive-0") })
+		_, err = fmt.Fprint(conn, piece, end)
+		must.NoError(t, err)
+		var resp fasthttp.Response
+		must.NoError(t, resp.Read(bufio.NewReader(conn)))
+		must.Eq(t, "archive-0 POST /plan/x 20000", string(resp.Body()))
+		must.NoError(t, conn.Close())
+	}
+}
+
+// checkRanAt returns an error unless a server runs a small upload.
+func (c *cluster) checkRanAt(server string) error {
+	if resp := c.send(c.daemons[0], "POST", "/plan/x", -1, "p"); !strings.HasPrefix(resp.body, server+" ") {
+		return fmt.Errorf("status %d: %s", resp.status, resp.body)
+	}
+	return nil
+}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -101,6 +101,12 @@
 	if refusal != nil {
 		return refusal
 	}
+	if refusal := c.confirmRoute(); refusal != nil {
+		return refusal
+	}
+	if c.requiresOwner() {
+		c.gateway.backends.Stats().CountRequest(c.service, c.headers.Key)
+	}
 	c.fingerprint = c.newFingerprint()
 	hop.StripRequest(&c.ctx.Request.Header)
 	var cancel context.CancelCauseFunc
@@ -133,8 +139,14 @@
 	c.service = c.gateway.selector.next(c.route)
 	c.keyed = configuration.Services[c.service].Keyed
 	c.deadline = c.arrived.Add(c.callerTimeout())
-	if c.keyed && c.headers.Key != dialect.NoKey {
-		c.gateway.backends.Stats().CountRequest(c.service, c.headers.Key)
+	return nil
+}
+
+// confirmRoute checks, once the request's body has arrived, that the request may still be
+// sent, and determines its route again if the configuration has changed meanwhile.
+func (c *call) confirmRoute() *reason.Error {
+	if c.gateway.refusesRequests() || c.gateway.catalog.Load().Configuration.Version != c.configVersion {
+		return c.resolveRoute()
 	}
 	return nil
 }
