keeper: one call on each connection, but for grants that are accepted

Each renewal so took a connection of its own, which is priced and takes a slot of the server for a moment.

Change: the keeper's calls bear no ids any more. Releases and probes each have a connection of their own. Grants share connections as long as all on them are accepted: a late copy can then only say that a later one was accepted too, and the keeper at worst takes a server to hold keys for longer than it does. Refused ones end their connection, so that no copy can refuse another one.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -115,9 +115,6 @@
 	// generates.
 	SetRequestID(h *fasthttp.ResponseHeader, id model.RequestID)
 
-	// SetCallID sets the id of a call of the daemon's own, which the server repeats in its
-	// response.
-	SetCallID(h *fasthttp.RequestHeader, id model.RequestID)
 	// WriteGrant encodes the request that sends a grant to a server.
 	WriteGrant(req *fasthttp.Request, server model.ServerID, g Grant)
 	// ReadGrantResponse returns the outcome that the HTTP status of the response to
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -38,8 +38,6 @@
 	// Carriers are the connections that carried earlier sends of the same request. The
 	// exchange uses another one, and adds it. Nil if the request is sent once at most.
 	Carriers *Carriers
-	// Fresh has the request sent on a connection that carried none before.
-	Fresh bool
 }
 
 // Do sends req once and reads the header of the response into resp. When ctx ends, the
@@ -55,7 +53,7 @@
 	if ctx.Err() != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: context.Cause(ctx)}
 	}
-	c, err := p.acquire(ctx, o)
+	c, err := p.acquire(ctx, o.Carriers)
 	if err != nil {
 		return nil, &Failure{Stage: StageDial, Peer: p.address, Err: err}
 	}
--- a/internal/httplink/pool.go
+++ b/internal/httplink/pool.go
@@ -105,11 +105,11 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable and meets the options, or a new
+// acquire returns an idle connection that is still usable and none of the carriers, or a new
 // one. It fails with the cause of ctx's end if ctx ends while a connection is opened.
-func (p *Pool) acquire(ctx context.Context, o Options) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, carriers *Carriers) (*conn, error) {
 	for {
-		c := p.popIdle(o)
+		c := p.popIdle(carriers)
 		if c == nil {
 			break
 		}
@@ -121,12 +121,12 @@
 	return p.dialNew(ctx)
 }
 
-// popIdle returns the most recently used idle connection that meets the options, or nil.
-func (p *Pool) popIdle(o Options) *conn {
+// popIdle returns the most recently used idle connection that is none of the carriers, or nil.
+func (p *Pool) popIdle(carriers *Carriers) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(p.idle) {
-		if !o.Carriers.include(c) && !(o.Fresh && c.used) {
+		if !carriers.include(c) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
--- a/internal/keeper/processconns.go
+++ b/internal/keeper/processconns.go
@@ -73,7 +73,7 @@
 			p.markVerified(current)
 			if result.connSpent {
 				p.drop(current)
-				p.spareDialedAt = time.Time{} // each call takes a connection
+				p.spareDialedAt = time.Time{}
 			}
 			return response, result
 		}
--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -15,7 +13,6 @@
 	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/dialect"
 	"github.com/chicorylug/chicorylug/internal/httplink"
-	"github.com/chicorylug/chicorylug/internal/model"
 	"github.com/chicorylug/chicorylug/internal/netx"
 )
 
@@ -44,12 +41,11 @@
 	server  *catalog.Server
 	// backends keeps what responses say about further requests to the server.
 	backends *backends.Backends
-	// repeatsIDs says that the server has repeated the id of a call in a response.
-	repeatsIDs atomic.Bool
 	// grantConns lead to the process that received the first grant, pool to any
 	// process that listens at the address.
 	grantConns *processConns
-	pool       *httplink.Pool
+	// pool has connections that carry one call each.
+	pool *httplink.Pool
 }
 
 func newHTTPClient(d dialect.Dialect, network *netx.Network, server *catalog.Server, b *backends.Backends) *httpClient {
@@ -82,66 +78,45 @@
 	err   error
 }
 
-// call is a call to be made.
-type call struct {
-	// id is set in the request, so that the response can be told from those to other calls.
-	// A call without one is made on a connection of its own.
-	id      model.RequestID
-	timeout time.Duration
-	fill    func(*fasthttp.Request)
-}
-
-// newCallID returns an id that no other call has.
-func newCallID() model.RequestID { return model.RequestID(uuid.NewString()) }
-
-// errOtherCall says that a response belongs to another call, or can't be told from one that does.
-var errOtherCall = errors.New("keeper: response may belong to another call")
-
 // do makes one call. It returns a response, which must be released, only if the result
-// has no error.
-func (c *httpClient) do(ctx context.Context, pool *httplink.Pool, o httplink.Options, k call) (*fasthttp.Response, callResult) {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+// has no error. Responses name no call, and a second copy of one may come where that to the next
+// call on its connection is expected: mayReuse says for a status whether another call may be made
+// on the connection, as a copy does no harm there.
+func (c *httpClient) do(ctx context.Context, pool *httplink.Pool, timeout time.Duration, mayReuse func(status int) bool, fill func(*fasthttp.Request)) (*fasthttp.Response, callResult) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	k.fill(request)
+	fill(request)
 	request.Header.SetHost(c.server.Address)
-	if k.id != "" {
-		c.dialect.SetCallID(&request.Header, k.id)
-	}
 	response := fasthttp.AcquireResponse()
-	exchange, failure := pool.DoWith(ctx, request, response, o)
+	exchange, failure := pool.Do(ctx, request, response)
 	if failure != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: failure.Sent, err: dialError(failure)}
 	}
 	defer exchange.Close()
-	result := c.readResponse(exchange, response, k.id)
-	if result.err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, result
-	}
-	return response, result
-}
-
-// readResponse reads the response to a call to its end.
-func (c *httpClient) readResponse(exchange *httplink.Exchange, response *fasthttp.Response, id model.RequestID) callResult {
-	signs := c.dialect.ReadServerResponse(response)
-	repeated := id != "" && signs.ID == id
-	if !repeated && (signs.ID != "" || !exchange.First()) {
-		exchange.Abort()
-		return callResult{sent: true, err: errOtherCall}
-	}
-	if repeated {
-		c.repeatsIDs.Store(true)
-	} else {
+	spent := !mayReuse(response.StatusCode())
+	if spent {
 		exchange.DoNotReuse()
 	}
+	signs := c.dialect.ReadServerResponse(response)
 	c.backends.RecordSigns(c.server, "", &signs)
 	if err := exchange.Discard(); err != nil {
-		return callResult{sent: true, err: err}
+		fasthttp.ReleaseResponse(response)
+		return nil, callResult{sent: true, err: err}
 	}
-	return callResult{sent: true, status: response.StatusCode(), connSpent: !repeated}
+	return response, callResult{sent: true, connSpent: spent, status: response.StatusCode()}
+}
+
+// never is the mayReuse of calls whose response decides alone: releases and probes.
+func never(int) bool { return false }
+
+// mayReuseAfterGrant keeps the connections whose grants were all accepted. A copy of such a
+// response can only hide that a later grant was not: the keeper then takes the server to hold
+// keys for longer than it does.
+func (c *httpClient) mayReuseAfterGrant(status int) bool {
+	return c.dialect.ReadGrantResponse(status) == dialect.GrantAccepted
 }
 
 // dialError wraps a refused connection in errNotListening and returns other errors
@@ -162,10 +137,7 @@
 // grant implements serverClient.
 func (c *httpClient) grant(ctx context.Context, g dialect.Grant) (dialect.GrantOutcome, callResult) {
 	response, result := c.grantConns.exchange(ctx, func(pool *httplink.Pool) (*fasthttp.Response, callResult) {
-		return c.do(ctx, pool, httplink.Options{}, call{
-			id: newCallID(), timeout: grantTimeout,
-			fill: func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) },
-		})
+		return c.do(ctx, pool, grantTimeout, c.mayReuseAfterGrant, func(r *fasthttp.Request) { c.dialect.WriteGrant(r, c.server.ID, g) })
 	})
 	if result.err != nil {
 		return dialect.GrantUnknown, result
@@ -183,9 +155,7 @@
 	if pause := c.backends.Paused(c.server, time.Now()); pause != nil {
 		return pause
 	}
-	response, result := c.do(ctx, c.pool, httplink.Options{Fresh: true}, call{
-		timeout: grantTimeout, fill: func(r *fasthttp.Request) { r.SetRequestURI(healthPath) },
-	})
+	response, result := c.do(ctx, c.pool, grantTimeout, never, func(r *fasthttp.Request) { r.SetRequestURI(healthPath) })
 	if result.err != nil {
 		return result.err
 	}
@@ -198,10 +168,7 @@
 
 // release implements serverClient.
 func (c *httpClient) release(ctx context.Context, timeout time.Duration, from, to int, fence catalog.Fence) callResult {
-	response, result := c.do(ctx, c.pool, httplink.Options{Fresh: !c.repeatsIDs.Load()}, call{
-		id: newCallID(), timeout: timeout,
-		fill: func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) },
-	})
+	response, result := c.do(ctx, c.pool, timeout, never, func(r *fasthttp.Request) { c.dialect.WriteRelease(r, c.server.ID, from, to, fence) })
 	if result.err != nil {
 		return result
 	}
--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -30,7 +30,7 @@
 	r.SetRequestURI("/grant")
 }
 
-func (leavingDialect) SetCallID(*fasthttp.RequestHeader, model.RequestID) {}
+func (leavingDialect) ReadGrantResponse(int) dialect.GrantOutcome { return dialect.GrantAccepted }
 
 func (leavingDialect) ReadServerResponse(*fasthttp.Response) dialect.ServerResponse {
 	return dialect.ServerResponse{Leaving: true}
@@ -68,9 +68,8 @@
 // startRepeatingPeer starts a server that answers the calls on each of its connections one
 // after the other, and returns its address. A second copy of each answer comes when the next
 // call on the connection arrives. status returns the status of the answer to a call about the
-// keys from a first one; a release hands over "state-FIRST". With repeatsIDs, the answers bear
-// the ids of their calls.
-func startRepeatingPeer(t *testing.T, repeatsIDs bool, status func(first int) int) string {
+// keys from a first one; a release hands over "state-FIRST".
+func startRepeatingPeer(t *testing.T, status func(first int) int) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -80,13 +79,13 @@
 			if err != nil {
 				return
 			}
-			go answerTwice(conn, repeatsIDs, status)
+			go answerTwice(conn, status)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func answerTwice(conn net.Conn, repeatsIDs bool, status func(first int) int) {
+func answerTwice(conn net.Conn, status func(first int) int) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var last []byte
@@ -98,11 +97,7 @@
 		var keys struct{ From int }
 		_ = json.NewDecoder(request.Body).Decode(&keys) // a probe has no body
 		_, _ = conn.Write(last)                         // a failure shows at the next read
-		head := fmt.Sprintf("HTTP/1.1 %d Status\r\nChicorylug-Handover: state-%d\r\nContent-Length: 0\r\n", status(keys.From), keys.From)
-		if id := request.Header.Get("Chicorylug-Attempt-Id"); repeatsIDs && id != "" {
-			head += "Chicorylug-Attempt-Id: " + id + "\r\n"
-		}
-		last = []byte(head + "\r\n")
+		last = fmt.Appendf(nil, "HTTP/1.1 %d Status\r\nChicorylug-Handover: state-%d\r\nContent-Length: 0\r\n\r\n", status(keys.From), keys.From)
 		_, _ = conn.Write(last) // the same
 	}
 }
@@ -120,54 +115,41 @@
 // A late copy of the answer to a release was taken for the answer to the next one: the keys
 // went to another server while work on them was still running.
 func TestLateCopyAnswersNoOtherRelease(t *testing.T) {
-	for _, repeatsIDs := range []bool{true, false} {
-		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, alwaysOK))
-		answered := 0
-		for first := range 6 {
-			result := client.release(t.Context(), time.Second, first, first, 7)
-			must.True(t, result.sent)
-			if result.err == nil {
-				must.Eq(t, fmt.Sprintf("state-%d", first), result.state)
-				answered++
-			}
-		}
-		must.Greater(t, 2, answered)
+	client := newTestClient(t, startRepeatingPeer(t, alwaysOK))
+	for first := range 6 {
+		result := client.release(t.Context(), time.Second, first, first, 7)
+		must.NoError(t, result.err)
+		must.Eq(t, fmt.Sprintf("state-%d", first), result.state)
 	}
 }
 
 // A late copy of the answer to a probe was taken for the answer to a release.
 func TestLateCopyOfProbeAnswersNoRelease(t *testing.T) {
-	for _, repeatsIDs := range []bool{true, false} {
-		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, alwaysOK))
-		must.Error(t, client.probe(t.Context(), "/healthz")) // the answer names no server
-		result := client.release(t.Context(), time.Second, 1, 1, 7)
-		must.NoError(t, result.err)
-		must.Eq(t, "state-1", result.state)
-	}
+	client := newTestClient(t, startRepeatingPeer(t, alwaysOK))
+	must.Error(t, client.probe(t.Context(), "/healthz")) // the answer names no server
+	result := client.release(t.Context(), time.Second, 1, 1, 7)
+	must.NoError(t, result.err)
+	must.Eq(t, "state-1", result.state)
 }
 
 // A late copy of the answer to a refused grant was taken for the answer to the next one: the
 // keeper then took keys for free that the server had been granted.
-func TestLateCopyAnswersNoOtherGrant(t *testing.T) {
+func TestLateCopyRefusesNoOtherGrant(t *testing.T) {
 	isRefused := func(first int) bool { return first%3 == 0 }
-	status := func(first int) int {
+	client := newTestClient(t, startRepeatingPeer(t, func(first int) int {
 		if isRefused(first) {
 			return fasthttp.StatusServiceUnavailable
 		}
 		return fasthttp.StatusOK
-	}
-	for _, repeatsIDs := range []bool{true, false} {
-		client := newTestClient(t, startRepeatingPeer(t, repeatsIDs, status))
-		answered := 0
-		for first := range 9 {
-			outcome, result := client.grant(t.Context(), dialect.Grant{From: first, To: first, Fence: 7, Duration: time.Second})
-			if !result.sent {
-				break // no connection to the process is left
-			}
-			must.True(t, isRefused(first) || mayBeInForce(outcome, result), must.Sprintf("keys from %d: %v", first, result.err))
-			must.False(t, isRefused(first) && outcome == dialect.GrantAccepted)
-			answered++
+	}))
+	answered := 0
+	for first := range 9 {
+		outcome, result := client.grant(t.Context(), dialect.Grant{From: first, To: first, Fence: 7, Duration: time.Second})
+		if !result.sent {
+			break // each connection ends with its first copy, and no spare one is left
 		}
-		must.Greater(t, 1, answered)
+		must.True(t, isRefused(first) || mayBeInForce(outcome, result), must.Sprintf("keys from %d: %v", first, result.err))
+		answered++
 	}
+	must.Greater(t, 2, answered)
 }
