--- a/internal/daemon/fenced_upload_test.go
+++ b/internal/daemon/fenced_upload_test.go
@@ -45,7 +45,7 @@
 	c.startServer("archive-0", "archive", anyAddress)
 	for number, framing := range []string{"Content-Length: 20000", "Transfer-Encoding: chunked"} {
 		c.configure([]route{{"/plan/", "upload", "sealing", 5}})
-		c.await("the old service", func() error { return c.checkRanAt("seal-0") })
+		c.await("the old service", func() error { return c.checkRan("/plan/x", "seal-0") })
 		conn, err := net.Dial("tcp", c.daemons[0].Config().CallerAddress)
 		must.NoError(t, err)
 		piece, end := strings.Repeat("p", 10_000), ""
@@ -56,7 +56,7 @@
 		must.NoError(t, err)
 		time.Sleep(100 * time.Millisecond) // the daemon has read the head
 		c.configure([]route{{"/plan/", "upload", "archive", 5}})
-		c.await("the new service", func() error { return c.checkRanAt("archive-0") })
+		c.await("the new service", func() error { return c.checkRan("/plan/x", "archive-0") })
 		_, err = fmt.Fprint(conn, piece, end)
 		must.NoError(t, err)
 		var resp fasthttp.Response
@@ -66,9 +66,9 @@
 	}
 }
 
-// checkRanAt returns an error unless a server runs a small upload.
-func (c *cluster) checkRanAt(server string) error {
-	if resp := c.send(c.daemons[0], "POST", "/plan/x", -1, "p"); !strings.HasPrefix(resp.body, server+" ") {
+// checkRan returns an error unless a server runs a request without a key.
+func (c *cluster) checkRan(path, server string) error {
+	if resp := c.send(c.daemons[0], "POST", path, -1, "p"); !strings.HasPrefix(resp.body, server+" ") {
 		return fmt.Errorf("status %d: %s", resp.status, resp.body)
 	}
 	return nil
