gateway: send nothing late in the grace period that can't be answered in it

Report: in a planned stop of a machine, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them some that may not be repeated (LOST).

Here: an upload whose head came before new requests were refused (2.5 s of 6 s) was sent to a server whenever its body was complete, up to the end; and a request to a server that takes longer than the rest of the grace period was sent to it all the same. Both ended with 502, "the daemon ends and can't wait longer", and had run.

Now the time left is also compared with that within which the server answers nearly all requests (99th percentile of its service, by its own slowness), before each send: if it is too short, the request is refused at once as not run, and its caller goes to another daemon. The times of the shutdown count from the steady clock; they counted from the time of day, and a step of that moved them.

--- a/internal/attemptlimit/attemptlimit.go
+++ b/internal/attemptlimit/attemptlimit.go
@@ -78,7 +78,7 @@
 // Limit returns how long an attempt may take, or false if the caller's deadline is the
 // only limit.
 func (l *Limits) Limit(a *Attempt, now time.Time) (time.Duration, bool) {
-	tail, known := l.tail(a.Service, now)
+	tail, known := l.Tail(a.Service, now)
 	if !known {
 		return 0, false
 	}
@@ -90,9 +90,9 @@
 	return limit, true
 }
 
-// tail returns the time within which tailPercentile of a service's attempts are
+// Tail returns the time within which tailPercentile of a service's attempts are
 // answered, or false with too few observations.
-func (l *Limits) tail(service model.PoolName, now time.Time) (time.Duration, bool) {
+func (l *Limits) Tail(service model.PoolName, now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.services[service]
--- a/internal/backends/send.go
+++ b/internal/backends/send.go
@@ -149,6 +149,18 @@
 	}
 }
 
+// ExpectedTime returns the time within which a server answers nearly all requests, by the
+// recent ones of its service.
+func (b *Backends) ExpectedTime(server *catalog.Server) time.Duration {
+	average := b.stats.averageServiceTime(server.Service)
+	expected, known := b.limits.Tail(server.Service, time.Now())
+	if !known {
+		expected = average
+	}
+	slowness := max(b.endpoint(server).state.slowness(average), 1)
+	return time.Duration(slowness * float64(expected))
+}
+
 // exchange sends the request and reads the response.
 func (b *Backends) exchange(ctx context.Context, e *endpoint, a *Attempt, response *fasthttp.Response) Result {
 	exchange, failure := e.pool.DoWith(ctx, a.Request, response, httplink.Options{
--- a/internal/daemon/fenced_upload_test.go
+++ b/internal/daemon/fenced_upload_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
 )
 
 // The answer to a request whose body did not arrive within the route's timeout came a second
@@ -73,3 +75,43 @@
 	}
 	return nil
 }
+
+// An upload whose body was complete late in the grace period was sent to a server, and cut off
+// there at the end of the period.
+func TestUploadThatEndsLateInGracePeriodIsNotSent(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	cfg, exited := c.startProcess()
+	grace := time.Duration(cfg.Fenced.GraceSeconds * float64(time.Second))
+	c.plainServers()[0].SetFaults(fenced.Faults{ExtraServiceTime: longRun})
+	conn, err := net.Dial("tcp", cfg.CallerAddress)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	piece := strings.Repeat("p", 10_000)
+	_, err = fmt.Fprintf(conn, "POST /plan/x HTTP/1.1\r\nHost: %s\r\nChicorylug-Attempt-Id: late\r\nContent-Length: 20000\r\n\r\n%s", host, piece)
+	must.NoError(t, err)
+	c.stopProcess()(grace * 6 / 10)
+	_, err = fmt.Fprint(conn, piece)
+	must.NoError(t, err)
+	var resp fasthttp.Response
+	must.NoError(t, resp.Read(bufio.NewReader(conn)))
+	must.Eq(t, 503, resp.StatusCode(), must.Sprint(string(resp.Body())))
+	must.Eq(t, 0, c.runs("late"))
+	<-exited
+}
+
+// A request that came soon after SIGTERM was sent to a server that needed longer than the rest
+// of the grace period, and cut off there.
+func TestRequestIsNotSentIfItsServerNeedsLongerThanGracePeriod(t *testing.T) {
+	c := newListCluster(t, 1, manySlots)
+	cfg, exited := c.startProcess()
+	grace := time.Duration(cfg.Fenced.GraceSeconds * float64(time.Second))
+	server := c.plainServers()[0]
+	server.SetFaults(fenced.Faults{ExtraServiceTime: grace * 8 / 10})
+	must.Eq(t, 200, c.sendTo(cfg.CallerAddress, "POST", "/seal/x", -1, "order").status) // shows the time
+	wait := c.stopProcess()
+	wait(grace / 4)
+	seal := c.sendTo(cfg.CallerAddress, "POST", "/seal/x", -1, "order")
+	must.Eq(t, 503, seal.status, must.Sprint(seal))
+	must.Eq(t, 0, c.runs(seal.id))
+	<-exited
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -48,6 +48,13 @@
 		if refusal != nil {
 			return c.finalRefusal(refusal)
 		}
+		if refusal := c.checkTimeLeft(server); refusal != nil {
+			slot.Release(0)
+			if reserved != nil {
+				reserved.Cancel()
+			}
+			return c.finalRefusal(refusal)
+		}
 		result := c.send(server, reserved)
 		slot.Release(runDuration(result))
 		if result.Execution == backends.Ran && !c.hasRetryableStatus(result) {
@@ -75,6 +82,19 @@
 	}
 }
 
+// checkTimeLeft refuses the request if the daemon ends before the server is likely to have
+// answered: another daemon can still serve it.
+func (c *call) checkTimeLeft(server *catalog.Server) *reason.Error {
+	left, draining := c.gateway.timeLeft()
+	if !draining {
+		return nil
+	}
+	if expected := c.gateway.backends.ExpectedTime(server); expected > left {
+		return reason.New(reason.ShuttingDown, "send", string(server.ID), "the daemon ends in %v, and the server may need %v", left, expected)
+	}
+	return nil
+}
+
 // finalRefusal extends the outcome of a refusal to all attempts: if an earlier one
 // may have run, the outcome is Unknown.
 func (c *call) finalRefusal(refusal *reason.Error) *reason.Error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	started       time.Time
 	ready         atomic.Bool
 	draining      atomic.Bool
-	drainingSince atomic.Int64 // Unix nanoseconds
+	drainingSince atomic.Pointer[time.Time]
 
 	callerServer    *fasthttp.Server
 	readinessServer *fasthttp.Server
@@ -164,7 +164,16 @@
 // refusesRequests reports whether the daemon has been draining for longer than
 // shutdown.Refuse and refuses new requests.
 func (g *Gateway) refusesRequests() bool {
-	return g.draining.Load() && time.Since(time.Unix(0, g.drainingSince.Load())) > g.shutdown.Refuse
+	return g.draining.Load() && time.Since(*g.drainingSince.Load()) > g.shutdown.Refuse
+}
+
+// timeLeft returns the time until the requests in progress are refused, or false if the daemon
+// is not draining.
+func (g *Gateway) timeLeft() (time.Duration, bool) {
+	if !g.draining.Load() {
+		return 0, false
+	}
+	return time.Until(g.drainingSince.Load().Add(g.shutdown.End)), true
 }
 
 // discardLogger drops fasthttp's log lines about callers' connections.
@@ -220,7 +229,8 @@
 // BeginShutdown implements kernel.ShutdownObserver. The time for which requests are
 // accepted is counted from here, whatever the other services wait for when they drain.
 func (g *Gateway) BeginShutdown() {
-	g.drainingSince.Store(time.Now().UnixNano())
+	now := time.Now()
+	g.drainingSince.Store(&now)
 	g.draining.Store(true)
 }
 
@@ -228,7 +238,7 @@
 // has had time to notice that the daemon is not ready; then the requests in
 // progress are finished.
 func (g *Gateway) Drain(ctx context.Context) error {
-	noticed := time.Unix(0, g.drainingSince.Load()).Add(g.shutdown.Noticed)
+	noticed := g.drainingSince.Load().Add(g.shutdown.Noticed)
 	select {
 	case <-time.After(time.Until(noticed)):
 	case <-ctx.Done():
