keeper: cut answers to its calls that are too large

Change: the body of an answer to a grant, a release or a probe may have 64 KiB; at more the connection is closed and the call fails as without an answer.

--- a/internal/keeper/serverclient.go
+++ b/internal/keeper/serverclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -102,13 +103,32 @@
 	}
 	signs := c.dialect.ReadServerResponse(response)
 	c.backends.RecordSigns(c.server, "", &signs)
-	if err := exchange.Discard(); err != nil {
+	if err := discardBody(exchange); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, callResult{sent: true, err: err}
 	}
 	return response, callResult{sent: true, connSpent: spent, status: response.StatusCode()}
 }
 
+// maxBodyBytes is the size limit of the body of a response to a call, which is not used.
+const maxBodyBytes = 64 << 10
+
+var errBodyTooLarge = errors.Errorf("keeper: body of the response exceeds %d bytes", maxBodyBytes)
+
+// discardBody reads the body of a response. It fails if that ends early or is too large, and
+// then closes the connection.
+func discardBody(exchange *httplink.Exchange) error {
+	_, err := io.CopyN(io.Discard, exchange, maxBodyBytes+1)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	exchange.Abort()
+	if err == nil {
+		return errBodyTooLarge
+	}
+	return err
+}
+
 // never is the mayReuse of calls whose response decides alone: releases and probes.
 func never(int) bool { return false }
 
--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,3 +154,48 @@
 	}
 	must.Greater(t, 2, answered)
 }
+
+// A server sent bytes without end, in a head or a body, as the answer to a call of the keeper. The
+// call must end early, and keep none of them.
+func TestEndlessAnswersToCallsAreCut(t *testing.T) {
+	const bound = 4 << 20 // bytes that the server can send before the connection ends, buffers included
+	for _, head := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Long: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		sent := make(chan int, 8)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() { sent <- sendEndlessly(conn, head) }()
+			}
+		}()
+		client := newTestClient(t, listener.Addr().String())
+		must.Error(t, client.release(t.Context(), 10*time.Second, 1, 1, 7).err)
+		must.Less(t, bound, <-sent, must.Sprint(head))
+		must.Error(t, client.probe(t.Context(), "/healthz"))
+		must.Less(t, bound, <-sent, must.Sprint(head))
+		_, result := client.grant(t.Context(), dialect.Grant{From: 1, To: 1, Fence: 7, Duration: time.Second})
+		must.Error(t, result.err)
+		client.close()
+		must.Less(t, bound, <-sent, must.Sprint(head))
+		must.NoError(t, listener.Close())
+	}
+}
+
+// sendEndlessly reads a request and answers with a text and then without end, until the
+// connection fails. It returns the number of bytes sent.
+func sendEndlessly(conn net.Conn, head string) int {
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Read(make([]byte, 4096)) // a connection may be opened and never used
+	sent, err := conn.Write([]byte(head))
+	filler := []byte(strings.Repeat("x", 4096))
+	for err == nil {
+		var count int
+		count, err = conn.Write(filler)
+		sent += count
+	}
+	return sent
+}
