follow: ask the other peers side by side when one is silent

What callers saw: requests ran at a route's old service although a newer configuration had been confirmed more than two seconds before (CONFIG), at machines without any trouble of their own.

Cause: a daemon that does not follow the store polls one that does. If that stands still, the poll fails after 0.9 s; the next candidate was then asked by a poll that waits for changes, 0.9 s again if it stands still too, and so on: the sum had no bound.

Change: a daemon that needs a peer asks the nearest one for what it has now, without a wait, and all others at once if that fails or has not answered within 0.1 s. The first one that answers with usable copies is followed. The calls stay bounded by the number of followers, one a zone, for each loss of a peer.

--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -178,6 +178,9 @@
 	store     *fleetStore
 	followers map[string]*Follower // by control address
 	loops     []*control.Loop
+
+	mu     sync.Mutex
+	frozen map[string]bool // control addresses of the daemons that answer no calls
 }
 
 // startFleet starts daemons that have been registered before, and waits until they follow the
@@ -220,12 +223,32 @@
 		if peer == nil {
 			return nil, errors.Wrap(syscall.ECONNREFUSED, "call")
 		}
+		if fleet.isFrozen(address) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		return peer.servePoll(ctx, r)
 	}
 	fleet.followers[c.ControlAddress] = f
 	fleet.loops = append(fleet.loops, loop)
 }
 
+// freeze has the daemons at the given control addresses answer no calls, and all others answer.
+func (fleet *storeFleet) freeze(addresses []string) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.frozen = map[string]bool{}
+	for _, address := range addresses {
+		fleet.frozen[address] = true
+	}
+}
+
+func (fleet *storeFleet) isFrozen(address string) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.frozen[address]
+}
+
 func (fleet *storeFleet) stop() {
 	var stopping sync.WaitGroup
 	for _, f := range fleet.followers {
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -57,15 +57,8 @@
 
 // followOneOf polls one of some daemons, as followPeer says.
 func (f *Follower) followOneOf(ctx context.Context, daemons []Daemon, onUsable func()) bool {
-	for _, d := range f.nearestFirst(daemons) {
-		if d.Name == f.config.Name || f.Suspected(d.Name) {
-			continue
-		}
-		if f.followPeer(ctx, d, onUsable) {
-			return true
-		}
-	}
-	return false
+	d, found := f.choosePeer(ctx, daemons)
+	return found && f.followPeer(ctx, d, onUsable)
 }
 
 // followPeer polls one daemon until a poll fails, the daemon does not reach the store, its
@@ -81,14 +74,7 @@
 			f.log.Info("poll of the peer failed, trying another one", zap.String("peer", string(d.Name)), zap.Error(err))
 			return answered
 		}
-		if !response.StoreReachable || time.Duration(response.AgeMS)*time.Millisecond > maxStoreAge {
-			f.suspectStoreless(d)
-			f.log.Info("the peer does not reach the store or its data is outdated, trying another one", zap.String("peer", string(d.Name)), zap.Int64("age_ms", response.AgeMS))
-			return answered
-		}
-		if f.inEarlierEra(response) {
-			f.suspectStoreless(d)
-			f.log.Info("the peer has not heard of the store's era yet, trying another one", zap.String("peer", string(d.Name)))
+		if !f.checkUsable(d, response) {
 			return answered
 		}
 		answered = true
@@ -100,6 +86,22 @@
 	return true
 }
 
+// checkUsable reports whether the answer of a daemon shows that its copies can be followed. If
+// not, it suspects the daemon for a time.
+func (f *Follower) checkUsable(d Daemon, response *pollResponse) bool {
+	if !response.StoreReachable || time.Duration(response.AgeMS)*time.Millisecond > maxStoreAge {
+		f.suspectStoreless(d)
+		f.log.Info("the peer does not reach the store or its data is outdated, trying another one", zap.String("peer", string(d.Name)), zap.Int64("age_ms", response.AgeMS))
+		return false
+	}
+	if f.inEarlierEra(response) {
+		f.suspectStoreless(d)
+		f.log.Info("the peer has not heard of the store's era yet, trying another one", zap.String("peer", string(d.Name)))
+		return false
+	}
+	return true
+}
+
 // suspectStoreless marks a daemon as suspected that answers but does not reach the store now.
 func (f *Follower) suspectStoreless(d Daemon) {
 	f.suspectFor(d.Name, storelessDuration)
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -25,6 +25,9 @@
 // jsonDialect decodes registrations that are encoded catalog.Servers.
 type jsonDialect struct{ dialect.Dialect }
 
+// IsConfiguration implements dialect.Dialect. No record is decoded as a configuration.
+func (jsonDialect) IsConfiguration(string) bool { return false }
+
 // DecodeServer implements dialect.Dialect.
 func (jsonDialect) DecodeServer(r platform.Record, _ time.Time) (*catalog.Server, error) {
 	var server catalog.Server
