claim: the test of restored stores calls until all stores have confirmed

Cause: settle called each store once and then waited without a bound. In the product the spread tells daemons without calls of a new era.

Change: the calls are repeated while the test waits, and the wait ends after 10 s with what was confirmed. The check is as it was.

--- a/internal/claim/restored_test.go
+++ b/internal/claim/restored_test.go
@@ -104,22 +104,45 @@
 	must.Positive(t, claimedAfter)
 }
 
+// confirmLimit is the time within which stores that keep calling the platform confirm an era.
+const confirmLimit = 10 * time.Second
+
 // settle lets the stores notice a new era, in some histories, and in some of these write
 // their claims again.
 func (f *fixture) settle(t *rapid.T) {
 	if rapid.Bool().Draw(t, "unheard") {
 		return
 	}
-	for _, s := range f.stores {
-		_, _, _ = s.Claim(context.Background(), request(KeyOf("t", "r", "other")))
-	}
+	f.callAll()
 	era := platform.Era(f.standin.Era())
-	wait := rapid.Bool().Draw(t, "wait")
-	for wait && !(confirmation{allStores{f}, 0}).AllConfirmed(era) {
+	if !rapid.Bool().Draw(t, "wait") {
+		return
+	}
+	confirmations := confirmation{allStores{f}, 0}
+	for end := time.Now().Add(confirmLimit); !confirmations.AllConfirmed(era); {
+		if time.Now().After(end) {
+			t.Fatalf("era %d is not confirmed after %v: %v", era, confirmLimit, f.confirmedEras())
+		}
 		time.Sleep(time.Millisecond)
+		f.callAll()
 	}
 }
 
+// callAll has each store claim a key that is not used otherwise. A store that has not settled
+// an earlier era yet refuses without a call to the platform, and notices no newer one.
+func (f *fixture) callAll() {
+	for _, s := range f.stores {
+		_, _, _ = s.Claim(context.Background(), request(KeyOf("t", "r", "other")))
+	}
+}
+
+// confirmedEras returns the newest era that each store has confirmed.
+func (f *fixture) confirmedEras() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprint(f.confirmed)
+}
+
 // Guards against a key that is claimed at a daemon before the daemon that had claimed it
 // has written its lost claim again.
 func TestNothingIsClaimedBeforeLostClaimsAreWrittenAgain(t *testing.T) {
