--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"syscall"
 	"time"
@@ -83,6 +84,7 @@
 	extraService    = 300 * time.Millisecond
 	lostStoreWrites = 4
 	lostGrants      = 3
+	copiedOneIn     = 5
 	pauseSeconds    = "1.5" // for which a server wants no requests
 	// Copies from which the store returns are up to maxCopyAge older than its outage.
 	maxCopyAge    = 12 * time.Second
@@ -157,6 +159,7 @@
 	"server-silent":       func(s *fenced.Faults) { s.Unresponsive = true },
 	"server-lose-answers": func(s *fenced.Faults) { s.ResetAfterRun = true },
 	"server-wrong-id":     func(s *fenced.Faults) { s.WrongAttemptID = true },
+	"server-late-copies":  func(s *fenced.Faults) { s.LateCopies = copySome },
 	"server-unframed":     func(s *fenced.Faults) { s.Unframed = true },
 	"server-pause":        func(s *fenced.Faults) { s.Pause = pauseSeconds },
 	"server-fail":         func(s *fenced.Faults) { s.FailAll = true },
@@ -166,6 +169,9 @@
 	"server-trickle":      func(s *fenced.Faults) { s.Flood = fenced.FloodTrickledBody },
 }
 
+// copySome says for one in copiedOneIn answers of any kind that a second copy follows late.
+func copySome(string, int) bool { return rand.IntN(copiedOneIn) == 0 }
+
 func addServerKinds() {
 	add := func(name Kind, planned, recorded bool, begin func(*serverSlot) (endFunc, error)) {
 		kinds[name] = kindInfo{
