soak: uploads in pieces beside storms of configurations

Cause: the soak did not see uploads that ran by an older configuration: its bodies came at once, and its configurations one at a time.

Change: each daemon gets uploads in 8 chunks over up to 1.2 s on the route that only the newest version has; one that runs although the process had used a newer version 0.25 s before the last byte breaks "settings went back". config-storm writes a version each 0.25 s.

A first form did not see the bug: it sent no chunked request, and compared with the newest version only.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -252,6 +253,26 @@
 	return nil
 }
 
+// configureOften writes one version of the configuration after the other until the returned
+// function is called, which returns the first error.
+func (f *Fleet) configureOften() (end endFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var writing errgroup.Group
+	writing.Go(func() error {
+		for ctx.Err() == nil {
+			if err := f.configure(); err != nil {
+				return err
+			}
+			wait(ctx, stormPause)
+		}
+		return nil
+	})
+	return func() error {
+		cancel()
+		return writing.Wait()
+	}
+}
+
 // writeConfiguration writes the newest configuration. The caller must hold f.mu.
 func (f *Fleet) writeConfiguration() {
 	f.store.PutRow("op", "config", f.newest)
--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -85,6 +85,8 @@
 	lostStoreWrites = 4
 	lostGrants      = 3
 	copiedOneIn     = 5
+	stormPause      = 250 * time.Millisecond // between two configurations of a storm
+	stormWeight     = 2
 	pauseSeconds    = "1.5" // for which a server wants no requests
 	// Copies from which the store returns are up to maxCopyAge older than its outage.
 	maxCopyAge    = 12 * time.Second
@@ -213,6 +215,10 @@
 		class: classConfig, shortest: brief, longest: brief, planned: true, recorded: true,
 		begin: func(f *Fleet, _ string) (endFunc, error) { return nothing, f.configure() },
 	}
+	kinds["config-storm"] = kindInfo{
+		class: classConfig, shortest: moderate, longest: long, planned: true, recorded: true, weight: stormWeight,
+		begin: func(f *Fleet, _ string) (endFunc, error) { return f.configureOften(), nil },
+	}
 }
 
 func nothing() error { return nil }
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -66,6 +66,7 @@
 	departures map[string]departure
 	version    int // newest version of the configuration
 	configured time.Time
+	used       map[string][]usedVersion // by daemon, in order
 	peak       resources
 }
 
@@ -77,7 +78,7 @@
 
 // NewMonitor returns a monitor of a run that starts now.
 func NewMonitor() *Monitor {
-	return &Monitor{started: time.Now(), reported: map[string]bool{}, departures: map[string]departure{}, requested: map[string][]time.Time{}}
+	return &Monitor{started: time.Now(), reported: map[string]bool{}, departures: map[string]departure{}, used: map[string][]usedVersion{}, requested: map[string][]time.Time{}}
 }
 
 // Begin records the start of a fault. The returned function records its end.
--- a/soak/probes.go
+++ b/soak/probes.go
@@ -104,6 +104,7 @@
 	p.monitor.checkVersion(o, version, uses, lacks)
 	if uses && version > p.newest {
 		p.newest, p.seen = version, o.Ended
+		p.monitor.Used(p.daemon.name, usedVersion{incarnation: o.Incarnation, version: version, seen: o.Ended})
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -49,6 +49,7 @@
 	var loading, watching sync.WaitGroup
 	loading.Go(func() { call(load, f, p.Seed) })
 	loading.Go(func() { probe(load, f) })
+	loading.Go(func() { upload(load, f, p.Seed) })
 	watching.Go(func() { f.watchLedger(watches) })
 	watching.Go(func() { f.watchRuns(watches) })
 	err := f.inject(ctx, p.Events)
