follow: random histories of impaired daemons, in virtual time

Cause: the hedged choice of a peer was tested with frozen followers only.

Change: a test plays fleets of 26 to 60 daemons of which some are frozen or cut off from the store at random, and checks that all others have each configuration within 2 s.

--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -181,6 +181,46 @@
 
 	mu     sync.Mutex
 	frozen map[string]bool // control addresses of the daemons that answer no calls
+	cut    map[string]bool // of those that do not reach the store
+}
+
+// ownStore is the store as one daemon reaches it.
+type ownStore struct {
+	*fleetStore
+	fleet   *storeFleet
+	address string // of the daemon
+}
+
+// awaitPath waits until ctx ends if the daemon is cut off from the store.
+func (s *ownStore) awaitPath(ctx context.Context) error {
+	s.fleet.mu.Lock()
+	cut := s.fleet.cut[s.address]
+	s.fleet.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	return platform.ErrUnavailable
+}
+
+// Read implements platform.RecordStore.
+func (s *ownStore) Read(ctx context.Context, c platform.Collection) (platform.Page, error) {
+	if err := s.awaitPath(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	return s.fleetStore.Read(ctx, c)
+}
+
+// Changes implements platform.RecordStore. The answer is lost if the daemon is cut off meanwhile.
+func (s *ownStore) Changes(ctx context.Context, c platform.Collection, after platform.Position, wait time.Duration) (platform.Page, error) {
+	if err := s.awaitPath(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	page, err := s.fleetStore.Changes(ctx, c, after, wait)
+	if lost := s.awaitPath(ctx); lost != nil {
+		return platform.Page{}, lost
+	}
+	return page, err
 }
 
 // startFleet starts daemons that have been registered before, and waits until they follow the
@@ -215,7 +255,7 @@
 	registry := metrics.New()
 	loop := control.NewLoop()
 	client := rpc.NewClient(&netx.Network{}, registry)
-	f := New(c, loop, fleet.store, jsonDialect{}, catalog.New(), rpc.NewServer(registry), client, registry, zap.NewNop())
+	f := New(c, loop, &ownStore{fleetStore: fleet.store, fleet: fleet, address: c.ControlAddress}, jsonDialect{}, catalog.New(), rpc.NewServer(registry), client, registry, zap.NewNop())
 	f.catalog.PublishConfiguration(&catalog.Configuration{Version: 1})
 	f.callPeer = func(ctx context.Context, address string, r *pollRequest) (*pollResponse, error) {
 		sleep(ctx, callDelay)
--- a/internal/follow/frozen_test.go
+++ b/internal/follow/frozen_test.go
@@ -17,12 +17,9 @@
 // addressesToFreeze returns the control addresses of the given number of daemons: the
 // designated ones first, then their substitutes, then others.
 func (fleet *storeFleet) addressesToFreeze(count int) []string {
-	var any *Follower
-	for _, f := range fleet.followers {
-		any = f
-	}
+	first := fleet.followers["d0"] // all know the same daemons
 	var addresses []string
-	for _, list := range [][]Daemon{any.DesignatedFollowers(), any.substitutes(), any.Daemons()} {
+	for _, list := range [][]Daemon{first.DesignatedFollowers(), first.substitutes(), first.Daemons()} {
 		for _, d := range list {
 			if len(addresses) < count {
 				addresses = append(addresses, d.Control)
--- /dev/null
+++ b/internal/follow/impaired_test.go
@@ -0,0 +1,151 @@
+package follow
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chicorylug/chicorylug/internal/platform"
+)
+
+// Arguments of TestCalmDaemonsHaveConfigurationsInTimeUnderRandomFaults, for more histories by hand.
+var (
+	randomHistories = flag.Int("random-histories", 8, "number of random histories with impaired daemons")
+	overlapping     = flag.Bool("overlapping", false, "let the impairments of a history overlap, so that more than a tenth of the fleet is impaired at a time")
+)
+
+// impairment is the time for which a daemon stands still or is cut off from the store.
+type impairment struct {
+	address  string
+	cut      bool // else it answers no calls
+	from, to time.Time
+}
+
+// contactTime is the time after an impairment from which on a daemon has to keep up.
+const contactTime = 3 * time.Second
+
+// randomHistory impairs daemons of a fleet at random while configurations change.
+type randomHistory struct {
+	fleet       *storeFleet
+	rng         *rand.Rand
+	impairments []*impairment
+}
+
+// impair impairs some daemons: followers of the store in half of the cases, others else.
+func (h *randomHistory) impair() {
+	most := (len(h.fleet.followers) + 9) / 10
+	addresses := h.fleet.addressesToFreeze(len(h.fleet.followers))
+	if h.rng.IntN(2) == 0 {
+		h.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	} else {
+		near := addresses[:min(2*most, len(addresses))]
+		h.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	}
+	for _, address := range addresses[:1+h.rng.IntN(most)] {
+		from := time.Now()
+		h.impairments = append(h.impairments, &impairment{
+			address: address, cut: h.rng.IntN(2) == 0, from: from, to: from.Add(time.Duration(500+h.rng.IntN(4500)) * time.Millisecond),
+		})
+	}
+}
+
+// apply puts the impairments that last now in force.
+func (h *randomHistory) apply() {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.fleet.frozen, h.fleet.cut = map[string]bool{}, map[string]bool{}
+	for _, i := range h.impairments {
+		if time.Now().Before(i.to) && i.cut {
+			h.fleet.cut[i.address] = true
+		} else if time.Now().Before(i.to) {
+			h.fleet.frozen[i.address] = true
+		}
+	}
+}
+
+// lasting reports whether an impairment lasts.
+func (h *randomHistory) lasting() bool {
+	return slices.ContainsFunc(h.impairments, func(i *impairment) bool { return time.Now().Before(i.to) })
+}
+
+// isCalm reports whether a daemon was not impaired in the contact time before now.
+func (h *randomHistory) isCalm(address string) bool {
+	for _, i := range h.impairments {
+		if i.address == address && time.Now().Before(i.to.Add(contactTime)) {
+			return false
+		}
+	}
+	return true
+}
+
+// impairedNow returns a line for each impairment of the last seconds, for failures.
+func (h *randomHistory) impairedNow() string {
+	var text strings.Builder
+	for _, i := range h.impairments {
+		if time.Now().Before(i.to.Add(contactTime)) {
+			fmt.Fprintf(&text, "%s cut %t from %v to %v ago\n", i.address, i.cut, time.Since(i.from), time.Since(i.to))
+		}
+	}
+	return text.String()
+}
+
+// play returns the first daemon that has a configuration later than applyBound after it was
+// written, or an empty text.
+func (h *randomHistory) play(steps int) string {
+	type change struct {
+		value int
+		at    time.Time
+	}
+	var pending []change
+	written := 0
+	for range steps {
+		time.Sleep(20 * time.Millisecond)
+		if h.rng.IntN(60) == 0 && (*overlapping || !h.lasting()) {
+			h.impair()
+		}
+		h.apply()
+		if h.rng.IntN(30) == 0 {
+			written++
+			h.fleet.store.changeConfiguration(fmt.Sprint(written))
+			pending = append(pending, change{value: written, at: time.Now()})
+		}
+		if len(pending) == 0 || time.Since(pending[0].at) <= applyBound {
+			continue
+		}
+		for address, f := range h.fleet.followers {
+			record, _ := f.replicas[platform.Configurations].get("config")
+			have, _ := strconv.Atoi(string(record.Value)) // 0 if there is none yet
+			if have < pending[0].value && h.isCalm(address) {
+				return fmt.Sprintf("%s has configuration %d, want %d, %v after it was written\n%s", address, have, pending[0].value, time.Since(pending[0].at), h.impairedNow())
+			}
+		}
+		pending = pending[1:]
+	}
+	return ""
+}
+
+// Guards against daemons that get a configuration late although nothing is wrong with them,
+// while up to a tenth of the fleet at a time stands still or is cut off from the store.
+func TestCalmDaemonsHaveConfigurationsInTimeUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(*randomHistories) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				fleets := []struct{ daemons, zones int }{{28, 4}, {30, 1}, {26, 4}, {60, 5}}
+				size := fleets[seed%uint64(len(fleets))]
+				fleet := startFleet(size.daemons, size.zones)
+				defer fleet.stop()
+				h := &randomHistory{fleet: fleet, rng: rand.New(rand.NewPCG(seed, 1))}
+				must.Eq(t, "", h.play(3000), must.Sprintf("%d daemons in %d zones", size.daemons, size.zones))
+			})
+		})
+	}
+}
