claim: the test of lost claims holds a confirmation back, not its receiver

It set the first store's confirmations late, to hold its confirmation back. Both stores share a client that tells them of a new era, so the first one may have written its claims again by then: it confirmed to nobody, and never again.

Change: the first store has its confirmations from the start, as SetConfirmations asks, and its confirmation blocks until the test has seen that nothing is claimed. The checks are as they were, and the first store's refusal is certain now.

--- a/internal/claim/restored_test.go
+++ b/internal/claim/restored_test.go
@@ -51,6 +51,18 @@
 	return c.allStores.AllConfirmed(era)
 }
 
+// heldConfirmation confirms an era only once mayConfirm is closed.
+type heldConfirmation struct {
+	confirmation
+	mayConfirm <-chan struct{}
+}
+
+// Confirm implements Confirmations.
+func (c heldConfirmation) Confirm(era platform.Era) {
+	<-c.mayConfirm
+	c.confirmation.Confirm(era)
+}
+
 // TestOneHolderAtATimeOverRestoredStore claims and finishes requests as
 // TestOneHolderAtATime does, while the store returns to older copies. It guards against a
 // second run of a request whose claim the store has lost, or shows as released again.
@@ -147,6 +159,8 @@
 // has written its lost claim again.
 func TestNothingIsClaimedBeforeLostClaimsAreWrittenAgain(t *testing.T) {
 	f := startFixture(t)
+	mayConfirm := make(chan struct{})
+	f.stores[0].SetConfirmations(heldConfirmation{confirmation{allStores{f}, 0}, mayConfirm})
 	f.stores[1].SetConfirmations(confirmation{allStores{f}, 1})
 	ctx := context.Background()
 	key := KeyOf("t", "r", "k")
@@ -159,9 +173,9 @@
 		_, _, err = f.stores[1].Claim(ctx, request(key))
 		must.ErrorIs(t, err, ErrStoreUnavailable)
 	}
-	f.stores[0].SetConfirmations(confirmation{allStores{f}, 0})
 	_, _, err = f.stores[0].Claim(ctx, request(KeyOf("t", "r", "other")))
 	must.ErrorIs(t, err, ErrStoreUnavailable)
+	close(mayConfirm)
 
 	deadline := time.Now().Add(5 * time.Second)
 	var found *Record
