platformd: servers of the instance list register with all fields

Change: the stand-in writes the version and the warm-up time, as the platform's servers do.

Result: the tests of internal/attest, internal/coordinator and internal/standin pass.

--- a/internal/standin/platformd/rows.go
+++ b/internal/standin/platformd/rows.go
@@ -122,8 +122,9 @@
 		state = "draining"
 	}
 	return Row{Table: tableServers, Key: instance.ID, Value: encode(map[string]any{
-		"Service": instance.Pool, "Address": instance.Address, "Zone": instance.Zone, "Capacity": 1, "State": state,
-		"Sequence": 1, // number of the server's registration, part of the format; daemons don't read it
+		"Service": instance.Pool, "Address": instance.Address, "Zone": instance.Zone, "Version": "v1", "Capacity": 1, "State": state,
+		"WarmupLeftS": 0,
+		"Sequence":    1, // number of the server's registration, part of the format; daemons don't read it
 	})}
 }
 
