--- a/internal/claim/restored_test.go
+++ b/internal/claim/restored_test.go
@@ -51,6 +51,10 @@
 	return c.allStores.AllConfirmed(era)
 }
 
+// unconfirmedTime is the time for which a store is seen to claim nothing while another one has
+// not confirmed. It has written its own claims again long before.
+const unconfirmedTime = 200 * time.Millisecond
+
 // heldConfirmation confirms an era only once mayConfirm is closed.
 type heldConfirmation struct {
 	confirmation
@@ -169,7 +173,7 @@
 	must.NoError(t, held.Complete(ctx, &Response{Status: 200}))
 	f.standin.Restore(time.Minute)
 
-	for range 3 {
+	for end := time.Now().Add(unconfirmedTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		_, _, err = f.stores[1].Claim(ctx, request(key))
 		must.ErrorIs(t, err, ErrStoreUnavailable)
 	}
