--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,9 +70,9 @@
 	currentAsOf      atomic.Pointer[time.Time]
 	storeAnsweredAt  atomic.Pointer[time.Time]
 	sharedAnsweredAt atomic.Pointer[time.Time]
-	// registrationsAsOf is the time as of which the copy of the registrations is current. Nil
-	// before the first read.
-	registrationsAsOf  atomic.Pointer[time.Time]
+	// completeAsOf is the time up to which each copy has all changes that were made to its
+	// collection in the store. Nil before the first answer. The keys are fixed.
+	completeAsOf       map[platform.Collection]*atomic.Pointer[time.Time]
 	failingCollections atomic.Int32 // number of collections whose last poll of the store failed
 	// registrationsSettleAt is the time from which on the registrations that the store
 	// has are those that servers wrote, see registrationSettleTime. Nil if it always was so.
@@ -104,6 +105,7 @@
 		log:            log.Named(string(ServiceName)),
 		replicas:       map[platform.Collection]*replica{},
 		rereads:        map[platform.Collection]*rereadLimiter{},
+		completeAsOf:   map[platform.Collection]*atomic.Pointer[time.Time]{},
 		daemons:        map[model.DaemonID]daemonRecord{},
 		suspectedUntil: map[model.DaemonID]time.Time{},
 		changed:        make(chan struct{}),
@@ -113,6 +115,8 @@
 	for _, c := range collections {
 		f.replicas[c] = newReplica(c == platform.Shared)
 		f.rereads[c] = &rereadLimiter{}
+		f.completeAsOf[c] = &atomic.Pointer[time.Time]{}
+		registry.Gauge(fmt.Sprintf(`copy_age_seconds{collection=%q}`, c), func() float64 { return f.collectionAge(c).Seconds() })
 	}
 	f.callPeer = func(ctx context.Context, address string, r *pollRequest) (*pollResponse, error) {
 		return rpc.Call[pollResponse](ctx, f.client, address, methodPoll, r)
@@ -138,6 +142,7 @@
 // Start implements kernel.Service.
 func (f *Follower) Start(context.Context) error {
 	f.background.Go(f.run)
+	f.background.Go(f.watchAges)
 	return nil
 }
 
--- a/internal/follow/freshness.go
+++ b/internal/follow/freshness.go
@@ -18,6 +18,24 @@
 // daemon or one that it polls, 24 h before the first answer.
 func (f *Follower) CopyAge() time.Duration { return age(&f.currentAsOf) }
 
+// collectionAge returns the age of the copy of one collection: changes that were made in the
+// store before that time are in the copy. 24 h before the first answer.
+func (f *Follower) collectionAge(c platform.Collection) time.Duration { return age(f.completeAsOf[c]) }
+
+// collectionAges returns the ages of all copies in milliseconds.
+func (f *Follower) collectionAges() map[platform.Collection]int64 {
+	ages := map[platform.Collection]int64{}
+	for _, c := range collections {
+		ages[c] = f.collectionAge(c).Milliseconds()
+	}
+	return ages
+}
+
+// markComplete records that the copy of a collection has all changes up to a time.
+func (f *Follower) markComplete(c platform.Collection, asOf time.Time) {
+	markCurrent(f.completeAsOf[c], asOf)
+}
+
 // unknownAge is the age reported before the first answer.
 const unknownAge = 24 * time.Hour
 
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -43,6 +43,9 @@
 	// Eras are the eras of that daemon's copies. Answers of builds that know no eras
 	// have none.
 	Eras map[platform.Collection]platform.Era `json:"eras,omitempty"`
+	// AgesMS are the ages of that daemon's copies in milliseconds, see collectionAge. Answers
+	// of builds that know only AgeMS have none.
+	AgesMS map[platform.Collection]int64 `json:"ages_ms,omitempty"`
 }
 
 // followPeers polls one of the designated daemons for as long as it answers and reaches the
@@ -113,23 +116,45 @@
 func (f *Follower) poll(ctx context.Context, address string, wait time.Duration) (*pollResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerPollTimeout-peerPollWait)
 	defer cancel()
+	began := time.Now()
 	response, err := f.callPeer(ctx, address, f.newPollRequest(wait))
 	if err != nil {
 		return nil, err
 	}
 	for c, u := range response.Updates {
 		if f.replicas[c] != nil {
+			f.logReceived(c, u, address)
 			f.applyUpdate(c, u.fromPeer())
 		}
 	}
-	asOf := time.Now().Add(-time.Duration(response.AgeMS) * time.Millisecond)
-	markCurrent(&f.currentAsOf, asOf)
-	if response.StoreReachable && !f.inEarlierEra(response) {
-		markCurrent(&f.registrationsAsOf, asOf)
-	}
+	markCurrent(&f.currentAsOf, time.Now().Add(-time.Duration(response.AgeMS)*time.Millisecond))
+	f.markCompleteAsPeer(response, answeredAt(began, wait))
 	return response, nil
 }
 
+// markCompleteAsPeer records that this daemon's copies are as complete as those of a daemon
+// whose answer has just been applied, which gave it at a time.
+func (f *Follower) markCompleteAsPeer(response *pollResponse, answered time.Time) {
+	if f.inEarlierEra(response) {
+		return
+	}
+	for _, c := range collections {
+		if ageMS, stated := response.AgesMS[c]; stated {
+			f.markComplete(c, answered.Add(-time.Duration(ageMS)*time.Millisecond))
+		}
+	}
+}
+
+// answeredAt returns when the answer to a poll was given that has just arrived: now, or at the
+// end of its wait if that is earlier, as a process that stood still reads its answers late.
+func answeredAt(began time.Time, wait time.Duration) time.Time {
+	latest := began.Add(wait)
+	if now := time.Now(); now.Before(latest) {
+		return now
+	}
+	return latest
+}
+
 // newPollRequest asks for what this daemon's copies lack.
 func (f *Follower) newPollRequest(wait time.Duration) *pollRequest {
 	r := &pollRequest{
@@ -193,6 +218,7 @@
 	response := &pollResponse{
 		Updates: map[platform.Collection]update{}, AgeMS: f.CopyAge().Milliseconds(),
 		StoreReachable: f.StoreReachable(), Eras: map[platform.Collection]platform.Era{},
+		AgesMS: f.collectionAges(), // before the updates, so that these are at least as new
 	}
 	for _, c := range collections {
 		held := f.replicas[c].completeUpTo()
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// storePeer is the store's name in log lines about dependencies.
+const storePeer = "store"
+
+// logReceived logs that a changed configuration came from the store or from the daemon at a
+// control address (ip:port), and the age of the copy before, which bounds how late it is.
+func (f *Follower) logReceived(c platform.Collection, u update, peer string) {
+	if c != platform.Configurations || len(u.Records) == 0 {
+		return
+	}
+	f.log.Info("changed configuration received", zap.String("peer", peer), zap.Uint64("revision", uint64(u.Revision)),
+		zap.Duration("copy_age", f.collectionAge(c)), zap.Bool("full", u.Full))
+}
+
 func (f *Follower) applyConfiguration(record platform.Record) {
 	if !f.dialect.IsConfiguration(record.Name) || record.Deleted {
 		return
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -110,7 +110,7 @@
 		current, known := f.replicas[platform.Servers].record(string(id))
 		switch {
 		case !known || current.Position != record.Position:
-		case time.Now().Add(-age(&f.registrationsAsOf)).Before(asOf):
+		case time.Now().Add(-f.collectionAge(platform.Servers)).Before(asOf):
 			f.afterOnLoop(recheckDelay, recheck)
 		default:
 			then()
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -71,7 +71,7 @@
 }
 
 func (r *registry) apply(u update) {
-	r.follower.applyAnswer(platform.Servers, u)
+	r.follower.applyAnswer(platform.Servers, u, time.Now())
 	synctest.Wait()
 }
 
@@ -83,7 +83,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(100 * time.Millisecond)
 		for _, c := range answering {
-			r.follower.applyAnswer(c, update{Position: r.follower.replicas[c].completeUpTo()})
+			r.follower.applyAnswer(c, update{Position: r.follower.replicas[c].completeUpTo()}, time.Now())
 		}
 	}
 	synctest.Wait()
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -164,6 +164,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait+storePollSlack)
 	defer cancel()
+	began := time.Now()
 	page, err := f.store.Changes(waitCtx, c, have, wait)
 	f.storeCalls.Inc()
 	if errors.Is(err, platform.ErrHistoryGone) {
@@ -173,7 +174,7 @@
 		return err
 	}
 	f.rereads[c].reset()
-	f.applyAnswer(c, update{Records: wireRecords(page.Records), Position: page.Position})
+	f.applyAnswer(c, update{Records: wireRecords(page.Records), Position: page.Position}, answeredAt(began, wait))
 	if len(page.Records) > 0 {
 		sleep(ctx, changeBatchDelay)
 	}
@@ -184,23 +185,24 @@
 func (f *Follower) readCollection(ctx context.Context, c platform.Collection) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	page, err := f.store.Read(ctx, c)
 	f.storeCalls.Inc()
 	if err != nil {
 		return err
 	}
-	f.applyAnswer(c, update{Full: true, Records: wireRecords(page.Records), Position: page.Position})
+	f.applyAnswer(c, update{Full: true, Records: wireRecords(page.Records), Position: page.Position}, began)
 	return nil
 }
 
-// applyAnswer applies what the store has answered just now about a collection.
-func (f *Follower) applyAnswer(c platform.Collection, u update) {
+// applyAnswer applies what the store has answered about a collection, with all changes up to
+// a time.
+func (f *Follower) applyAnswer(c platform.Collection, u update, asOf time.Time) {
 	f.markStoreAnswered()
+	f.logReceived(c, u, storePeer)
 	f.applyUpdate(c, u)
-	switch c {
-	case platform.Servers:
-		markCurrent(&f.registrationsAsOf, time.Now())
-	case platform.Shared:
+	f.markComplete(c, asOf)
+	if c == platform.Shared {
 		markCurrent(&f.sharedAnsweredAt, time.Now())
 	}
 }
--- /dev/null
+++ b/internal/follow/watchages_test.go
@@ -0,0 +1,48 @@
+package follow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/chicorylug/chicorylug/internal/platform"
+)
+
+// A daemon told others only when the store had last answered it about any collection, so that a
+// copy of the configurations counted as current while only the other collections' polls worked.
+func TestAgeOfACopyIsThatOfItsOwnCollection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.passAnswering(time.Second, collections...)
+		r.passAnswering(5*time.Second, platform.Servers, platform.Shared)
+		response := r.follower.buildPollResponse(&pollRequest{})
+		must.Eq(t, 0, response.AgeMS)
+		must.Eq(t, 5000, response.AgesMS[platform.Configurations])
+		must.Eq(t, 0, response.AgesMS[platform.Servers])
+	})
+}
+
+// The record of an incident did not tell whether a daemon's copy was old. Each time that a copy
+// becomes outdated and is current again has one log line each.
+func TestOutdatedCopyIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		core, logged := observer.New(zap.InfoLevel)
+		r.follower.log = zap.New(core)
+		r.follower.background.Go(r.follower.watchAges)
+		for range 2 {
+			r.passAnswering(3*time.Second, collections...)
+			r.passAnswering(4*time.Second, platform.Servers)
+		}
+		r.passAnswering(time.Second, collections...)
+		must.Eq(t, 2, logged.FilterMessage("copy of the collection is outdated").Len())
+		again := logged.FilterMessage("copy of the collection is current again").All()
+		must.Len(t, 2, again)
+		must.Eq(t, string(platform.Configurations), again[0].ContextMap()["collection"].(string))
+		must.Between(t, 4*time.Second, again[0].ContextMap()["after"].(time.Duration), 4500*time.Millisecond)
+	})
+}
