--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -182,6 +182,7 @@
 	mu     sync.Mutex
 	frozen map[string]bool // control addresses of the daemons that answer no calls
 	cut    map[string]bool // of those that do not reach the store
+	alone  map[string]bool // of those that reach the store, but no other daemon
 }
 
 // ownStore is the store as one daemon reaches it.
@@ -263,7 +264,7 @@
 		if peer == nil {
 			return nil, errors.Wrap(syscall.ECONNREFUSED, "call")
 		}
-		if fleet.isFrozen(address) {
+		if fleet.isFrozen(address) || fleet.isAlone(address) || fleet.isAlone(c.ControlAddress) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -289,6 +290,27 @@
 	return fleet.frozen[address]
 }
 
+func (fleet *storeFleet) isAlone(address string) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.alone[address]
+}
+
+// impair has some daemons stand still, others not reach the store, and others reach no daemon.
+func (fleet *storeFleet) impair(frozen, cut, alone []string) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.frozen, fleet.cut, fleet.alone = setOf(frozen), setOf(cut), setOf(alone)
+}
+
+func setOf(addresses []string) map[string]bool {
+	set := map[string]bool{}
+	for _, address := range addresses {
+		set[address] = true
+	}
+	return set
+}
+
 func (fleet *storeFleet) stop() {
 	var stopping sync.WaitGroup
 	for _, f := range fleet.followers {
--- a/internal/follow/frozen_test.go
+++ b/internal/follow/frozen_test.go
@@ -31,10 +31,15 @@
 
 // changeConfiguration writes a configuration to the store.
 func (s *fleetStore) changeConfiguration(value string) {
+	s.change(platform.Configurations, "config", value)
+}
+
+// change writes a record.
+func (s *fleetStore) change(c platform.Collection, name, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position.Revision++
-	s.records[platform.Configurations]["config"] = platform.Record{Name: "config", Value: []byte(value), Position: s.position}
+	s.records[c][name] = platform.Record{Name: name, Value: []byte(value), Position: s.position}
 	s.notify()
 }
 
--- a/internal/follow/impaired_test.go
+++ b/internal/follow/impaired_test.go
@@ -5,15 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
 // Arguments of TestCalmDaemonsHaveConfigurationsInTimeUnderRandomFaults, for more histories by hand.
@@ -97,15 +94,10 @@
 	return text.String()
 }
 
-// play returns the first daemon that has a configuration later than applyBound after it was
-// written, or an empty text.
+// play returns the first daemon that has a change later than applyBound after it was written,
+// or an empty text.
 func (h *randomHistory) play(steps int) string {
-	type change struct {
-		value int
-		at    time.Time
-	}
-	var pending []change
-	written := 0
+	changes := &changeSeries{fleet: h.fleet}
 	for range steps {
 		time.Sleep(20 * time.Millisecond)
 		if h.rng.IntN(60) == 0 && (*overlapping || !h.lasting()) {
@@ -113,21 +105,11 @@
 		}
 		h.apply()
 		if h.rng.IntN(30) == 0 {
-			written++
-			h.fleet.store.changeConfiguration(fmt.Sprint(written))
-			pending = append(pending, change{value: written, at: time.Now()})
-		}
-		if len(pending) == 0 || time.Since(pending[0].at) <= applyBound {
-			continue
+			changes.write()
 		}
-		for address, f := range h.fleet.followers {
-			record, _ := f.replicas[platform.Configurations].get("config")
-			have, _ := strconv.Atoi(string(record.Value)) // 0 if there is none yet
-			if have < pending[0].value && h.isCalm(address) {
-				return fmt.Sprintf("%s has configuration %d, want %d, %v after it was written\n%s", address, have, pending[0].value, time.Since(pending[0].at), h.impairedNow())
-			}
+		if late := changes.late(h.isCalm); late != "" {
+			return late + "\n" + h.impairedNow()
 		}
-		pending = pending[1:]
 	}
 	return ""
 }
