--- a/internal/follow/changeseries_test.go
+++ b/internal/follow/changeseries_test.go
@@ -37,7 +37,7 @@
 		for address, f := range s.fleet.followers {
 			configuration, server := f.valueOf(platform.Configurations, "config"), f.valueOf(platform.Servers, "server")
 			if min(configuration, server) < due.value && isCalm(address) {
-				return fmt.Sprintf("%s has configuration %d and registration %d, want %d, %v after it was written", address, configuration, server, due.value, time.Since(due.at))
+				return fmt.Sprintf("%s has configuration %d and registration %d, want %d, %v after it was written; designated: %t, ages: %v", address, configuration, server, due.value, time.Since(due.at), f.Designated(), f.collectionAges())
 			}
 		}
 		s.pending = s.pending[1:]
--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -9,6 +9,9 @@
 // and try the store themselves late and rarely: see storeTurn. All polls are long
 // polls: the answer comes with the next change or at the end of the wait.
 //
+// Whatever happens to the daemons that it polls, a daemon whose copy of the configuration or of
+// the servers is too old asks others and then the store itself: see refreshCopies.
+//
 // The copy of each collection has a floor and a revision: it holds all changes
 // after the floor up to the revision, deletions included. A daemon whose revision
 // is below the floor of the daemon that it polls is sent the whole collection.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -50,6 +50,13 @@
 	turn     storeTurn                              // used by run only
 	rereads  map[platform.Collection]*rereadLimiter // each used by the goroutine that polls the store for the collection
 
+	// followsStore says that this daemon polls the store, as one that is designated or in place
+	// of those.
+	followsStore atomic.Bool
+	// refreshInFull says that the store does not have the changes that the next refresh of a
+	// copy needs. Used by refreshCopies only.
+	refreshInFull map[platform.Collection]bool
+
 	mu      sync.Mutex
 	daemons map[model.DaemonID]daemonRecord // as registered
 	// suspectedUntil is the time until which a daemon is not asked, as it did not answer or had
@@ -70,6 +77,8 @@
 	currentAsOf      atomic.Pointer[time.Time]
 	storeAnsweredAt  atomic.Pointer[time.Time]
 	sharedAnsweredAt atomic.Pointer[time.Time]
+	// peerAnsweredAt is when another daemon last answered this one. Nil before the first answer.
+	peerAnsweredAt atomic.Pointer[time.Time]
 	// completeAsOf is the time up to which each copy has all changes that were made to its
 	// collection in the store. Nil before the first answer. The keys are fixed.
 	completeAsOf       map[platform.Collection]*atomic.Pointer[time.Time]
@@ -105,6 +114,7 @@
 		log:            log.Named(string(ServiceName)),
 		replicas:       map[platform.Collection]*replica{},
 		rereads:        map[platform.Collection]*rereadLimiter{},
+		refreshInFull:  map[platform.Collection]bool{},
 		completeAsOf:   map[platform.Collection]*atomic.Pointer[time.Time]{},
 		daemons:        map[model.DaemonID]daemonRecord{},
 		suspectedUntil: map[model.DaemonID]time.Time{},
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -37,8 +37,8 @@
 	// AgeMS is the age of the answering daemon's copies, in milliseconds: the time since
 	// the store last answered that daemon or one that it polls, see CopyAge.
 	AgeMS int64 `json:"age_ms"`
-	// StoreReachable says that the store answers that daemon directly, not through a
-	// peer. The encoded name is kept for daemons of other builds.
+	// StoreReachable says that that daemon polls the store and the store answers it. The
+	// encoded name is kept for daemons of other builds.
 	StoreReachable bool `json:"on_store"`
 	// Eras are the eras of that daemon's copies. Answers of builds that know no eras
 	// have none.
@@ -81,6 +81,7 @@
 			return answered
 		}
 		answered = true
+		f.followsStore.Store(false)
 		onUsable()
 		if f.Designated() {
 			return true
@@ -121,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	markCurrent(&f.peerAnsweredAt, time.Now())
 	for c, u := range response.Updates {
 		if f.replicas[c] != nil {
 			f.logReceived(c, u, address)
@@ -145,10 +147,10 @@
 	}
 }
 
-// answeredAt returns when the answer to a poll was given that has just arrived: now, or at the
-// end of its wait if that is earlier, as a process that stood still reads its answers late.
+// answeredAt returns when the answer to a poll was given that has just arrived: now, or soon after
+// the end of its wait if that is earlier, as a process that stood still reads its answers late.
 func answeredAt(began time.Time, wait time.Duration) time.Time {
-	latest := began.Add(wait)
+	latest := began.Add(wait + answerTransit)
 	if now := time.Now(); now.Before(latest) {
 		return now
 	}
@@ -217,7 +219,7 @@
 func (f *Follower) buildPollResponse(request *pollRequest) *pollResponse {
 	response := &pollResponse{
 		Updates: map[platform.Collection]update{}, AgeMS: f.CopyAge().Milliseconds(),
-		StoreReachable: f.StoreReachable(), Eras: map[platform.Collection]platform.Era{},
+		StoreReachable: f.followsStore.Load() && f.StoreReachable(), Eras: map[platform.Collection]platform.Era{},
 		AgesMS: f.collectionAges(), // before the updates, so that these are at least as new
 	}
 	for _, c := range collections {
@@ -236,22 +238,3 @@
 	}
 	return response
 }
-
-// catchUpFromPeers polls the other designated daemons, without waiting for changes, until
-// one answers that reaches the store. It is used while the store does not answer this
-// daemon.
-func (f *Follower) catchUpFromPeers(ctx context.Context) {
-	for _, d := range f.DesignatedFollowers() {
-		if d.Name == f.config.Name || f.Suspected(d.Name) {
-			continue
-		}
-		response, err := f.poll(ctx, d.Control, 0)
-		if err != nil {
-			f.Suspect(d.Name)
-			continue
-		}
-		if response.StoreReachable {
-			return
-		}
-	}
-}
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -21,8 +21,9 @@
 	sharedPollWait    = 1700 * time.Millisecond // the same for platform.Shared, whose changes need not arrive within a bound
 	storePollSlack    = 500 * time.Millisecond  // time beyond the wait for the store's answer, enough for a slow store
 	readTimeout       = 1500 * time.Millisecond // for one read of a whole collection, or one write
-	peerPollWait      = 600 * time.Millisecond  // a daemon answers a poll without a change after this time
-	peerPollTimeout   = 900 * time.Millisecond  // for one poll of a daemon with a wait of peerPollWait
+	peerPollWait      = 450 * time.Millisecond  // a daemon answers a poll without a change after this time
+	peerPollTimeout   = 750 * time.Millisecond  // for one poll of a daemon with a wait of peerPollWait
+	answerTransit     = 250 * time.Millisecond  // longest time of an answer on its way
 	changeBatchDelay  = 150 * time.Millisecond  // pause after a change, so that the next poll returns further ones together
 	seedTimeout       = 100 * time.Millisecond  // time without an answer of a seed after which the store is read too
 	bootstrapDelay    = 400 * time.Millisecond  // time for the other daemons of a new fleet to register
@@ -43,14 +44,15 @@
 	}
 	f.register(ctx)
 	f.awaitOtherDaemons(ctx)
+	f.background.Go(f.refreshCopies)
 	for ctx.Err() == nil {
 		switch {
 		case f.Designated():
+			f.followsStore.Store(true)
 			f.followStore(ctx)
 		case f.followPeers(ctx):
 		case f.turn.due(time.Now()):
-			reached := (f.turn.reached || f.probeStore(ctx)) && f.followStore(ctx)
-			f.turn.called(time.Now(), reached)
+			f.turn.called(time.Now(), f.standIn(ctx))
 		default:
 			sleep(ctx, peerRetryDelay+rand.N(peerRetryDelay))
 		}
@@ -74,6 +76,16 @@
 	return reached.Load()
 }
 
+// standIn polls the store once for each collection, in place of the designated daemons. It reports
+// whether the store answers this daemon.
+func (f *Follower) standIn(ctx context.Context) bool {
+	reached := f.turn.reached || f.probeStore(ctx)
+	f.followsStore.Store(reached)
+	reached = reached && f.followStore(ctx)
+	f.followsStore.Store(reached)
+	return reached
+}
+
 // probeStore calls the store once, for the changes of one collection without waiting for any, and
 // reports whether that succeeded.
 func (f *Follower) probeStore(ctx context.Context) bool {
@@ -91,7 +103,7 @@
 	retries := storeRetries()
 	defer func() { f.countFailing(failing, false) }()
 	for ctx.Err() == nil {
-		err := f.pollStore(ctx, c, pollWait(c))
+		err := f.pollStore(ctx, c, f.pollWait(c))
 		if err != nil && !failing {
 			f.log.Warn("polls of the store fail", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 		}
@@ -101,7 +113,7 @@
 		f.countFailing(failing, err != nil)
 		failing = err != nil
 		if failing {
-			f.catchUpFromPeers(ctx)
+			f.askFollowers()
 		}
 		if !f.Designated() {
 			return !failing
@@ -146,9 +158,10 @@
 }
 
 // pollWait returns the time after which the store answers a poll for a collection without a
-// change.
-func pollWait(c platform.Collection) time.Duration {
-	if c == platform.Shared {
+// change. A daemon that stands in for the designated ones polls anew when all its polls have
+// ended: then all of them end soon.
+func (f *Follower) pollWait(c platform.Collection) time.Duration {
+	if c == platform.Shared && f.Designated() {
 		return sharedPollWait
 	}
 	return storePollWait
@@ -162,11 +175,7 @@
 	if have.IsZero() || (have.Era < f.StoreEra() && f.Designated()) {
 		return f.readCollection(ctx, c)
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, wait+storePollSlack)
-	defer cancel()
-	began := time.Now()
-	page, err := f.store.Changes(waitCtx, c, have, wait)
-	f.storeCalls.Inc()
+	changed, err := f.readChanges(ctx, c, have, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return f.reread(ctx, c, err)
 	}
@@ -174,13 +183,27 @@
 		return err
 	}
 	f.rereads[c].reset()
-	f.applyAnswer(c, update{Records: wireRecords(page.Records), Position: page.Position}, answeredAt(began, wait))
-	if len(page.Records) > 0 {
+	if changed {
 		sleep(ctx, changeBatchDelay)
 	}
 	return nil
 }
 
+// readChanges asks the store for the changes of a collection after a position, waits some time
+// for the first one, and applies them. It reports whether there were any.
+func (f *Follower) readChanges(ctx context.Context, c platform.Collection, have platform.Position, wait time.Duration) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storePollSlack)
+	defer cancel()
+	began := time.Now()
+	page, err := f.store.Changes(ctx, c, have, wait)
+	f.storeCalls.Inc()
+	if err != nil {
+		return false, err
+	}
+	f.applyAnswer(c, update{Records: wireRecords(page.Records), Position: page.Position}, answeredAt(began, wait))
+	return len(page.Records) > 0, nil
+}
+
 // readCollection reads a whole collection from the store and applies it.
 func (f *Follower) readCollection(ctx context.Context, c platform.Collection) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
