--- a/soak/kinds.go
+++ b/soak/kinds.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"syscall"
 	"time"
 
@@ -56,6 +57,9 @@
 // beginFunc injects a fault into a target.
 type beginFunc func(f *Fleet, target string) (endFunc, error)
 
+// cutsPeers reports whether the kind cuts a daemon off from other daemons.
+func (k Kind) cutsPeers() bool { return strings.HasPrefix(string(k), peerLinkPrefix+"-cut-") }
+
 // kindInfo says how a kind of fault is injected.
 type kindInfo struct {
 	class             targetClass
--- a/soak/monitor.go
+++ b/soak/monitor.go
@@ -64,12 +64,17 @@
 	reported   map[string]bool
 	excused    int // violations that a fault excuses
 	departures map[string]departure
-	version    int // newest version of the configuration
-	configured time.Time
+	versions   []writtenVersion         // of the configuration, oldest first
 	used       map[string][]usedVersion // by daemon, in order
 	peak       resources
 }
 
+// writtenVersion is a version of the configuration that operators wrote at a time.
+type writtenVersion struct {
+	version int
+	at      time.Time
+}
+
 // Mark is the begin of a fault in the table of a verdict.
 type Mark struct {
 	At    time.Duration
@@ -118,10 +123,11 @@
 }
 
 // daemonCalm reports whether neither the daemon nor the store had a fault in a time and
-// in the contact time before it. The caller must hold m.mu.
+// in the contact time before it. A daemon that is cut off from other daemons only is calm: it
+// still reaches the store. The caller must hold m.mu.
 func (m *Monitor) daemonCalm(daemon string, from, to time.Time) bool {
 	return m.calm(from, to, func(i *interval) bool {
-		return i.class.isStore() || i.class == classDaemon && i.target == daemon
+		return i.class.isStore() || i.class == classDaemon && i.target == daemon && !i.kind.cutsPeers()
 	})
 }
 
@@ -151,18 +157,44 @@
 	return slices.ContainsFunc(m.faults, func(i *interval) bool { return counts(i) && i.overlaps(from, to) })
 }
 
-// Configured records that a version of the configuration was written.
+// Configured records that a version of the configuration was written, or written again after
+// the store had lost it: then the older ones may have been in force until now.
 func (m *Monitor) Configured(version int, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version, m.configured = version, at
+	if m.newest().version < version {
+		m.versions = append(m.versions, writtenVersion{version: version, at: at})
+		return
+	}
+	for i := range m.versions {
+		m.versions[i].at = at
+	}
 }
 
-// newestVersion returns the newest version of the configuration.
+// newestVersion returns the newest version of the configuration, 0 before the first one.
 func (m *Monitor) newestVersion() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.version
+	return m.newest().version
+}
+
+// newest returns the newest version that was written. The caller must hold m.mu.
+func (m *Monitor) newest() writtenVersion {
+	if len(m.versions) == 0 {
+		return writtenVersion{}
+	}
+	return m.versions[len(m.versions)-1]
+}
+
+// successor returns the first version that was written after another one, or false if that is
+// the newest. The caller must hold m.mu.
+func (m *Monitor) successor(version int) (writtenVersion, bool) {
+	for _, w := range m.versions {
+		if w.version > version {
+			return w, true
+		}
+	}
+	return writtenVersion{}, false
 }
 
 // Drained records that a server announced its leaving, or lost its registration.
--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -89,6 +89,47 @@
 	must.Eq(t, []string{"stale settings", "stale settings"}, m.promises())
 }
 
+// In a series of configurations the newest one is never old, and no daemon that was late was
+// reported, however old the version that it used.
+func TestStaleSettingsAreReportedInASeriesOfConfigurations(t *testing.T) {
+	m := startedMonitor()
+	now := time.Now()
+	for version := 2; version <= 20; version++ {
+		m.Configured(version, now.Add(time.Duration(version-20)*stormPause))
+	}
+	probe := func(id string, version int) {
+		m.checkVersion(Outcome{ID: id, Daemon: "d0", Sent: now, Ended: now}, version, true, false)
+	}
+	probe("r1", 20)
+	probe("r2", 11) // 12 was written 2 s ago
+	must.SliceEmpty(t, m.promises())
+	probe("r3", 10) // 11 was written 2.25 s ago
+	must.Eq(t, []string{"stale settings"}, m.promises())
+}
+
+// What the store has lost was in force until it was written again.
+func TestSettingsThatWereLostCountFromWhenTheyAreWrittenAgain(t *testing.T) {
+	m := startedMonitor()
+	now := time.Now()
+	m.Configured(7, now.Add(-20*time.Second))
+	m.Configured(8, now.Add(-10*time.Second))
+	m.Configured(8, now)
+	for version := range 8 {
+		sent := now.Add(configApply)
+		m.checkVersion(Outcome{ID: fmt.Sprint(version), Daemon: "d0", Sent: sent, Ended: sent}, version, true, false)
+	}
+	must.SliceEmpty(t, m.promises())
+}
+
+// The rule binds a daemon that other daemons don't reach, as it reaches the store.
+func TestOnlyDaemonsThatReachTheStoreAreCalm(t *testing.T) {
+	for kind, calm := range map[Kind]bool{"peer-link-cut-up": true, "peer-link-cut-down": true, "peer-link-delay": false, "store-link-cut-up": false} {
+		m := startedMonitor()
+		m.Begin(Event{Kind: kind, Target: "d0"})
+		must.Eq(t, calm, m.daemonCalm("d0", time.Now(), time.Now()), must.Sprint(kind))
+	}
+}
+
 func TestSettingsThatGoBackAreReportedWithinOneIncarnation(t *testing.T) {
 	m := startedMonitor()
 	m.Configured(7, time.Now())
--- a/soak/probes.go
+++ b/soak/probes.go
@@ -11,10 +11,13 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Every other probe is one of the newest versions, the others are of older ones: in a storm of
+// configurations, a daemon that is late uses one that was replaced long ago.
 const (
-	probePause  = 40 * time.Millisecond
-	probedBack  = 2 // older versions that are probed beside the newest
-	firstProbed = 2 // version of the first configuration
+	probePause  = 20 * time.Millisecond
+	probedNew   = 3  // newest versions
+	probedOld   = 12 // versions before these
+	firstProbed = 2  // version of the first configuration
 )
 
 // probe asks each daemon again and again which versions of the configuration it uses,
@@ -58,8 +61,7 @@
 	defer func() { _ = conn.Close() }() // its end is no finding
 	reader := bufio.NewReader(conn)
 	for ctx.Err() == nil {
-		version := max(firstProbed, p.monitor.newestVersion()-p.probes%(probedBack+1))
-		open, err := p.probe(conn, reader, version, incarnation)
+		open, err := p.probe(conn, reader, p.nextVersion(), incarnation)
 		if err != nil || !open {
 			return
 		}
@@ -67,6 +69,15 @@
 	}
 }
 
+// nextVersion returns the version to probe next.
+func (p *prober) nextVersion() int {
+	back := p.probes / 2 % probedNew
+	if p.probes%2 == 1 {
+		back = probedNew + p.probes/2%probedOld
+	}
+	return max(firstProbed, p.monitor.newestVersion()-back)
+}
+
 // probe sends one request on the route of a version, and reports whether the connection
 // stays open.
 func (p *prober) probe(conn net.Conn, reader *bufio.Reader, version, incarnation int) (open bool, err error) {
@@ -108,13 +119,18 @@
 	}
 }
 
-// checkVersion checks that a calm daemon uses the newest version of the configuration.
+// checkVersion checks that a calm daemon does not use a version of the configuration long after
+// the next one was written, and does not lack the newest one long after it was written.
 func (m *Monitor) checkVersion(o Outcome, version int, uses, lacks bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := uses && version < m.version || lacks && version == m.version
-	late := o.Sent.Sub(m.configured)
+	due, replaced := m.successor(version)
+	if !replaced {
+		due = m.newest()
+	}
+	old := uses && replaced || lacks && version == due.version
+	late := o.Sent.Sub(due.at)
 	if old && late > configApply && m.daemonCalm(o.Daemon, o.Sent, o.Ended) {
-		m.breakPromise("stale settings", o.ID, "%s did not use version %d %v after it was written", o.Daemon, m.version, late.Round(time.Millisecond))
+		m.breakPromise("stale settings", o.ID, "%s did not use version %d %v after it was written", o.Daemon, due.version, late.Round(time.Millisecond))
 	}
 }
