--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -32,10 +32,12 @@
 }
 
 // notRunRefusal ends the attempt and returns the refusal for a response that says
-// that the server did not run the request.
+// that the server did not run the request. Its connection ends: nothing in these responses
+// states the request, and a second copy of it would be taken for that to the next one.
 func (r *request) notRunRefusal() *reason.Error {
 	peer := r.work.Server.String()
 	draining := string(r.response.Header.Peek(wire.HeaderDraining)) == "1"
+	r.exchange.DoNotReuse()
 	_ = r.exchange.Discard()
 	r.stopAbortHook()
 	r.ticket.MarkAnswered()
