--- a/internal/standin/fenced/faults.go
+++ b/internal/standin/fenced/faults.go
@@ -23,6 +23,11 @@
 	OmitAttemptID bool
 	// Unframed sends responses without a length, whose end is the end of the connection.
 	Unframed bool
+	// CutHead, if positive, is the number of bytes of the head of an answer, framed as HeadFraming
+	// says, that are sent to each request that ran before the connection is closed in order. More
+	// than the head has bytes stands for all of it without its last byte.
+	CutHead     int
+	HeadFraming Framing
 	// Unresponsive blocks every request, while connections stay open, until it is cleared.
 	Unresponsive bool
 	// ExtraServiceTime is added to the service time of each run.
--- a/internal/standin/fenced/requests.go
+++ b/internal/standin/fenced/requests.go
@@ -122,6 +122,9 @@
 	case f.Flood != NoFlood:
 		flood(ctx, f.Flood, id)
 		return
+	case f.CutHead > 0:
+		cutHead(ctx, id, f.CutHead, f.HeadFraming)
+		return
 	case f.ResetAfterRun:
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(conn net.Conn) { resetConn(conn) })
