--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -115,10 +117,15 @@
 // poll asks the daemon at a control address (ip:port) for changes, and applies them. The
 // daemon answers without a change after the given wait.
 func (f *Follower) poll(ctx context.Context, address string, wait time.Duration) (*pollResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerPollTimeout-peerPollWait)
+	return f.pollFor(ctx, address, collections, wait)
+}
+
+// pollFor is poll for some collections only.
+func (f *Follower) pollFor(ctx context.Context, address string, wanted []platform.Collection, wait time.Duration) (*pollResponse, error) {
+	pollCtx, cancel := context.WithTimeout(ctx, wait+peerPollTimeout-peerPollWait)
 	defer cancel()
 	began := time.Now()
-	response, err := f.callPeer(ctx, address, f.newPollRequest(wait))
+	response, err := f.callPeer(pollCtx, address, f.newPollRequest(wanted, wait))
 	if err != nil {
 		return nil, err
 	}
@@ -157,15 +164,19 @@
 	return latest
 }
 
-// newPollRequest asks for what this daemon's copies lack.
-func (f *Follower) newPollRequest(wait time.Duration) *pollRequest {
+// newPollRequest asks for what this daemon's copies of some collections lack. For the others it
+// states a position that no daemon is beyond.
+func (f *Follower) newPollRequest(wanted []platform.Collection, wait time.Duration) *pollRequest {
 	r := &pollRequest{
 		Have:   map[platform.Collection]platform.Revision{},
 		Eras:   map[platform.Collection]platform.Era{},
 		WaitMS: wait.Milliseconds(),
 	}
 	for _, c := range collections {
-		have := f.replicas[c].completeUpTo()
+		have := platform.Position{Era: math.MaxUint64, Revision: math.MaxUint64}
+		if slices.Contains(wanted, c) {
+			have = f.replicas[c].completeUpTo()
+		}
 		r.Have[c], r.Eras[c] = have.Revision, have.Era
 	}
 	return r
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -43,8 +43,8 @@
 			sleep(ctx, wait)
 			continue
 		}
-		if f.Designated() {
-			sleep(ctx, refreshAge) // it polls the store all the time, with pauses of its own
+		if f.Designated() && f.followsStore.Load() {
+			sleep(ctx, refreshRound) // it polls the store all the time, with pauses of its own
 			continue
 		}
 		callDue := f.refreshDue(failed)
@@ -136,14 +136,27 @@
 	f.ask(daemons[:min(askedAtRandom, len(daemons))])
 }
 
-// ask asks daemons side by side for changes and applies their answers, in the background.
-func (f *Follower) ask(daemons []Daemon) {
+// ask asks daemons side by side for changes of the bounded collections and applies their answers,
+// in the background. The other collections are left out: several answers would repeat them.
+func (f *Follower) ask(daemons []Daemon) { f.askFor(boundedCollections, daemons) }
+
+// askFor asks daemons side by side for changes of some collections, as ask does.
+func (f *Follower) askFor(wanted []platform.Collection, daemons []Daemon) {
 	for _, d := range daemons {
 		if d.Name == f.config.Name {
 			continue
 		}
 		f.background.Go(func(ctx context.Context) {
-			_, _ = f.poll(ctx, d.Control, 0) // others are asked, too
+			_, _ = f.pollFor(ctx, d.Control, wanted, 0) // others are asked, too
 		})
 	}
 }
+
+// catchUp asks for what the store has not sent a daemon whose poll failed: all followers for
+// changes of the bounded collections, and one of them for all.
+func (f *Follower) catchUp() {
+	f.askFollowers()
+	if others := f.unsuspected(f.DesignatedFollowers()); len(others) > 0 {
+		f.askFor(collections, others[rand.IntN(len(others)):][:1])
+	}
+}
--- a/internal/follow/restored_test.go
+++ b/internal/follow/restored_test.go
@@ -360,7 +360,7 @@
 			r.read(era(e, 9), at(era(e, 9), "s1", catalog.Server{StartedMS: 5}))
 			_, sent := r.follower.buildPollResponse(withoutEras).Updates[platform.Servers]
 			must.Eq(t, e == platform.FirstEra, sent)
-			_, sent = r.follower.buildPollResponse(r.follower.newPollRequest(0)).Updates[platform.Servers]
+			_, sent = r.follower.buildPollResponse(r.follower.newPollRequest(collections, 0)).Updates[platform.Servers]
 			must.False(t, sent) // it has all
 			behind := &pollRequest{Have: withoutEras.Have, Eras: map[platform.Collection]platform.Era{platform.Servers: 1}}
 			_, sent = r.follower.buildPollResponse(behind).Updates[platform.Servers]
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -63,13 +63,19 @@
 // or it is no longer designated, in another one once for each collection. It reports whether
 // the last poll of any of them succeeded.
 func (f *Follower) followStore(ctx context.Context) bool {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	var loops sync.WaitGroup
 	var reached atomic.Bool
+	designated := f.Designated()
 	for _, c := range collections {
 		loops.Go(func() {
-			if f.followCollection(ctx, c) {
+			if f.followCollection(ctx, c, designated) {
 				reached.Store(true)
 			}
+			if designated {
+				end() // for all collections: one that ended alone would be polled no more if the daemon is designated again
+			}
 		})
 	}
 	loops.Wait()
@@ -98,12 +104,15 @@
 
 // followCollection polls the store for one collection, as followStore says. It reports whether
 // the last poll succeeded.
-func (f *Follower) followCollection(ctx context.Context, c platform.Collection) bool {
+func (f *Follower) followCollection(ctx context.Context, c platform.Collection, designated bool) bool {
 	failing := false
 	retries := storeRetries()
 	defer func() { f.countFailing(failing, false) }()
 	for ctx.Err() == nil {
 		err := f.pollStore(ctx, c, f.pollWait(c))
+		if ctx.Err() != nil {
+			return !failing
+		}
 		if err != nil && !failing {
 			f.log.Warn("polls of the store fail", zap.String("peer", "store"), zap.String("collection", string(c)), zap.Error(err))
 		}
@@ -113,9 +122,9 @@
 		f.countFailing(failing, err != nil)
 		failing = err != nil
 		if failing {
-			f.askFollowers()
+			f.catchUp()
 		}
-		if !f.Designated() {
+		if !designated || !f.Designated() {
 			return !failing
 		}
 		if failing {
