--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -119,6 +119,7 @@
 	}
 	f.daemons[name] = d
 	delete(f.suspectedUntil, name)
+	delete(f.silences, d.Control)
 }
 
 // register writes this daemon's record, replacing that of its previous incarnation. It
--- a/internal/follow/designated.go
+++ b/internal/follow/designated.go
@@ -8,9 +8,19 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// followOrder returns the daemons in the order in which they are designated: by descending
-// number of cores, then by descending score.
+// followOrder returns the daemons in the order in which they are designated: recordOrder, but with
+// those that are gone at the end.
 func (f *Follower) followOrder() []Daemon {
+	daemons := f.recordOrder()
+	if gone := f.goneDaemons(daemons); len(gone) > 0 {
+		sort.SliceStable(daemons, func(i, j int) bool { return !gone[daemons[i].Name] && gone[daemons[j].Name] })
+	}
+	return daemons
+}
+
+// recordOrder returns the registered daemons by descending number of cores, then by descending
+// score.
+func (f *Follower) recordOrder() []Daemon {
 	daemons := f.Daemons()
 	scores := make(map[model.DaemonID]float64, len(daemons))
 	for _, d := range daemons {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,12 +56,14 @@
 	// refreshInFull says that the store does not have the changes that the next refresh of a
 	// copy needs. Used by refreshCopies only.
 	refreshInFull map[platform.Collection]bool
+	loggedGone    map[model.DaemonID]bool // used by watchEarlierDaemons only
 
 	mu      sync.Mutex
 	daemons map[model.DaemonID]daemonRecord // as registered
 	// suspectedUntil is the time until which a daemon is not asked, as it did not answer or had
 	// outdated data.
 	suspectedUntil map[model.DaemonID]time.Time
+	silences       map[string]silence                 // by control address, of daemons that did not answer the last poll
 	changed        chan struct{}                      // closed at the next change of any copy
 	servers        map[model.ServerID]*catalog.Server // used on the control goroutine only
 
@@ -118,6 +120,7 @@
 		completeAsOf:   map[platform.Collection]*atomic.Pointer[time.Time]{},
 		daemons:        map[model.DaemonID]daemonRecord{},
 		suspectedUntil: map[model.DaemonID]time.Time{},
+		silences:       map[string]silence{},
 		changed:        make(chan struct{}),
 		servers:        map[model.ServerID]*catalog.Server{},
 		departed:       map[model.ServerID]*departedServer{},
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -127,9 +127,12 @@
 	began := time.Now()
 	response, err := f.callPeer(pollCtx, address, f.newPollRequest(wanted, wait))
 	if err != nil {
+		if ctx.Err() == nil {
+			f.pollUnanswered(address)
+		}
 		return nil, err
 	}
-	markCurrent(&f.peerAnsweredAt, time.Now())
+	f.pollAnswered(address)
 	for c, u := range response.Updates {
 		if f.replicas[c] != nil {
 			f.logReceived(c, u, address)
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -129,10 +130,12 @@
 }
 
 // askRandomly asks some daemons for changes, see ask: what one of them has read from the store
-// reaches the others, whichever daemons are in trouble.
+// reaches the others, whichever daemons are in trouble. Those that did not answer the last time
+// are asked only if there are no others.
 func (f *Follower) askRandomly() {
 	daemons := f.Daemons()
 	rand.Shuffle(len(daemons), func(i, j int) { daemons[i], daemons[j] = daemons[j], daemons[i] })
+	sort.SliceStable(daemons, func(i, j int) bool { return !f.isSilent(daemons[i]) && f.isSilent(daemons[j]) })
 	f.ask(daemons[:min(askedAtRandom, len(daemons))])
 }
 
--- a/internal/follow/run.go
+++ b/internal/follow/run.go
@@ -45,6 +45,7 @@
 	f.register(ctx)
 	f.awaitOtherDaemons(ctx)
 	f.background.Go(f.refreshCopies)
+	f.background.Go(f.watchEarlierDaemons)
 	for ctx.Err() == nil {
 		switch {
 		case f.Designated():
