--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -140,17 +140,17 @@
 		}
 	}
 	markCurrent(&f.currentAsOf, time.Now().Add(-time.Duration(response.AgeMS)*time.Millisecond))
-	f.markCompleteAsPeer(response, answeredAt(began, wait))
+	f.markCompleteAsPeer(response, wanted, answeredAt(began, wait))
 	return response, nil
 }
 
-// markCompleteAsPeer records that this daemon's copies are as complete as those of a daemon
-// whose answer has just been applied, which gave it at a time.
-func (f *Follower) markCompleteAsPeer(response *pollResponse, answered time.Time) {
+// markCompleteAsPeer records that this daemon's copies of the collections that it wanted are as
+// complete as those of a daemon whose answer has just been applied, which gave it at a time.
+func (f *Follower) markCompleteAsPeer(response *pollResponse, wanted []platform.Collection, answered time.Time) {
 	if f.inEarlierEra(response) {
 		return
 	}
-	for _, c := range collections {
+	for _, c := range wanted {
 		if ageMS, stated := response.AgesMS[c]; stated {
 			f.markComplete(c, answered.Add(-time.Duration(ageMS)*time.Millisecond))
 		}
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -78,10 +78,10 @@
 // storePeer is the store's name in log lines about dependencies.
 const storePeer = "store"
 
-// logReceived logs that a changed configuration came from the store or from the daemon at a
+// logReceived logs that a newer configuration came from the store or from the daemon at a
 // control address (ip:port), and the age of the copy before, which bounds how late it is.
 func (f *Follower) logReceived(c platform.Collection, u update, peer string) {
-	if c != platform.Configurations || len(u.Records) == 0 {
+	if c != platform.Configurations || len(u.Records) == 0 || !f.replicas[c].completeUpTo().Before(u.Position) {
 		return
 	}
 	f.log.Info("changed configuration received", zap.String("peer", peer), zap.Uint64("revision", uint64(u.Revision)),
--- a/internal/follow/watchages_test.go
+++ b/internal/follow/watchages_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +47,18 @@
 		must.Between(t, 4*time.Second, again[0].ContextMap()["after"].(time.Duration), 4500*time.Millisecond)
 	})
 }
+
+// A daemon asked others for some collections only, and took the copies of the rest, of which they
+// sent nothing, for as complete as theirs.
+func TestOnlyCopiesThatWereAskedForBecomeComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t)
+		r.follower.callPeer = func(context.Context, string, *pollRequest) (*pollResponse, error) {
+			return &pollResponse{AgesMS: map[platform.Collection]int64{platform.Configurations: 100, platform.Servers: 100, platform.Shared: 100}}, nil
+		}
+		_, err := r.follower.pollFor(context.Background(), "d2", boundedCollections, 0)
+		must.NoError(t, err)
+		must.Eq(t, 100*time.Millisecond, r.follower.collectionAge(platform.Configurations))
+		must.Eq(t, unknownAge, r.follower.collectionAge(platform.Shared))
+	})
+}
