--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -214,6 +214,7 @@
 		response := f.buildPollResponse(request)
 		left := time.Until(deadline)
 		if len(response.Updates) > 0 || left <= 0 || !response.StoreReachable {
+			f.addPositions(request, response)
 			return response, nil
 		}
 		timer := time.NewTimer(left)
@@ -229,6 +230,21 @@
 	}
 }
 
+// addPositions adds updates without records for the collections in which this daemon's copy is
+// further than the caller's although nothing has changed. A caller whose position stood still
+// would sooner or later be below the floor of each other daemon.
+func (f *Follower) addPositions(request *pollRequest, response *pollResponse) {
+	for _, c := range collections {
+		if _, changed := response.Updates[c]; changed {
+			continue
+		}
+		held, have := f.replicas[c].completeUpTo(), request.position(c)
+		if held.Era == have.Era && have.Before(held) {
+			response.Updates[c] = f.replicas[c].since(have)
+		}
+	}
+}
+
 // buildPollResponse returns the updates that the caller of a poll lacks now.
 func (f *Follower) buildPollResponse(request *pollRequest) *pollResponse {
 	response := &pollResponse{
--- a/internal/follow/watchages_test.go
+++ b/internal/follow/watchages_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/chicorylug/chicorylug/internal/catalog"
 	"github.com/chicorylug/chicorylug/internal/platform"
 )
 
@@ -62,3 +63,25 @@
 		must.Eq(t, unknownAge, r.follower.collectionAge(platform.Shared))
 	})
 }
+
+// A daemon's position stood still as long as nothing changed, so that daemons that had read a
+// collection later sent it the whole collection at each poll instead of nothing.
+func TestPollWithoutChangesMovesThePosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		early, late := newRegistry(t), newRegistry(t)
+		early.read(era(1, 9), at(era(1, 4), "s1", catalog.Server{Sequence: 1}))
+		late.read(era(1, 20), at(era(1, 4), "s1", catalog.Server{Sequence: 1}))
+		follower := newRegistry(t)
+		follower.read(era(1, 5), at(era(1, 4), "s1", catalog.Server{Sequence: 1}))
+		early.apply(update{Position: era(1, 30)})
+		follower.follower.callPeer = func(ctx context.Context, _ string, r *pollRequest) (*pollResponse, error) {
+			return early.follower.servePoll(ctx, r)
+		}
+		early.follower.replicas[platform.Servers].floor = era(1, 4)
+		_, err := follower.follower.poll(context.Background(), "early", peerPollWait)
+		must.NoError(t, err)
+		must.Eq(t, era(1, 30), follower.follower.replicas[platform.Servers].completeUpTo())
+		response := late.follower.buildPollResponse(follower.follower.newPollRequest(collections, 0))
+		must.MapNotContainsKey(t, response.Updates, platform.Servers)
+	})
+}
