--- a/internal/follow/gone.go
+++ b/internal/follow/gone.go
@@ -88,10 +88,10 @@
 		earlier := f.earlierDaemons()
 		silent := slices.ContainsFunc(earlier, f.isSilent)
 		if silent {
-			f.askRandomly()
+			earlier = append(earlier, f.randomDaemons()...)
 		}
 		if silent || f.isAmong(f.substitutes()) {
-			f.ask(earlier)
+			f.askAges(earlier) // for whether they answer
 		}
 		f.logGone()
 		sleep(ctx, silentPollPeriod)
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -49,11 +49,7 @@
 			continue
 		}
 		callDue := f.refreshDue(failed)
-		f.askRandomly()
-		if callDue {
-			f.askFollowers()
-		}
-		sleep(ctx, refreshJitter/2+rand.N(refreshJitter/2))
+		f.takeBestOffer(ctx, f.askAges(f.askedDaemons(callDue)))
 		if callDue && f.untilRefresh() <= 0 {
 			failed = f.refreshOld(ctx)
 		}
@@ -123,43 +119,98 @@
 	return err
 }
 
-// askFollowers asks the daemons that may poll the store for changes, see ask.
-func (f *Follower) askFollowers() {
-	f.ask(f.DesignatedFollowers())
-	f.ask(f.substitutes())
+// offer is a daemon that has answered, and the age of the older one of its bounded copies.
+type offer struct {
+	daemon Daemon
+	age    time.Duration
 }
 
-// askRandomly asks some daemons for changes, see ask: what one of them has read from the store
-// reaches the others, whichever daemons are in trouble. Those that did not answer the last time
-// are asked only if there are no others.
-func (f *Follower) askRandomly() {
+// askedDaemons returns the daemons to ask for newer copies: some at random, as what one of them has
+// read from the store reaches the others so, whichever daemons are in trouble, and the daemons that
+// may poll the store.
+func (f *Follower) askedDaemons(withFollowers bool) []Daemon {
+	asked := f.randomDaemons()
+	if withFollowers {
+		asked = append(append(asked, f.DesignatedFollowers()...), f.substitutes()...)
+	}
+	return asked
+}
+
+// randomDaemons returns some daemons. Those that did not answer the last time are among them only
+// if there are no others.
+func (f *Follower) randomDaemons() []Daemon {
 	daemons := f.Daemons()
 	rand.Shuffle(len(daemons), func(i, j int) { daemons[i], daemons[j] = daemons[j], daemons[i] })
 	sort.SliceStable(daemons, func(i, j int) bool { return !f.isSilent(daemons[i]) && f.isSilent(daemons[j]) })
-	f.ask(daemons[:min(askedAtRandom, len(daemons))])
+	return daemons[:min(askedAtRandom, len(daemons))]
 }
 
-// ask asks daemons side by side for changes of the bounded collections and applies their answers,
-// in the background. The other collections are left out: several answers would repeat them.
-func (f *Follower) ask(daemons []Daemon) { f.askFor(boundedCollections, daemons) }
-
-// askFor asks daemons side by side for changes of some collections, as ask does.
-func (f *Follower) askFor(wanted []platform.Collection, daemons []Daemon) {
+// askAges asks daemons side by side, in the background, how old their copies are. They send no
+// records: after an outage of the store, those of many daemons would fill the links of all.
+func (f *Follower) askAges(daemons []Daemon) <-chan offer {
+	offers := make(chan offer, len(daemons))
 	for _, d := range daemons {
 		if d.Name == f.config.Name {
 			continue
 		}
 		f.background.Go(func(ctx context.Context) {
-			_, _ = f.pollFor(ctx, d.Control, wanted, 0) // others are asked, too
+			response, err := f.pollFor(ctx, d.Control, nil, 0)
+			if err == nil {
+				offers <- offer{daemon: d, age: response.boundedAge()}
+			}
 		})
 	}
+	return offers
+}
+
+// boundedAge returns the age of the older one of the answering daemon's bounded copies.
+func (r *pollResponse) boundedAge() time.Duration {
+	oldest := time.Duration(0)
+	for _, c := range boundedCollections {
+		ageMS, stated := r.AgesMS[c]
+		if !stated {
+			return unknownAge
+		}
+		oldest = max(oldest, time.Duration(ageMS)*time.Millisecond)
+	}
+	return oldest
+}
+
+// takeBestOffer takes the changes of the bounded collections from the daemon with the newest
+// copies, if these are not old themselves. It waits for the offers and then for the changes.
+func (f *Follower) takeBestOffer(ctx context.Context, offers <-chan offer) {
+	sleep(ctx, refreshJitter/2+rand.N(refreshJitter/2))
+	best := offer{age: refreshAge}
+	for range len(offers) {
+		if o := <-offers; o.age < best.age {
+			best = o
+		}
+	}
+	if best.age >= refreshAge {
+		return
+	}
+	taken := make(chan struct{})
+	f.background.Go(func(ctx context.Context) {
+		defer close(taken)
+		_, _ = f.pollFor(ctx, best.daemon.Control, boundedCollections, 0) // the store is called if it fails
+	})
+	timer := time.NewTimer(refreshJitter)
+	defer timer.Stop()
+	select {
+	case <-taken:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
-// catchUp asks for what the store has not sent a daemon whose poll failed: all followers for
-// changes of the bounded collections, and one of them for all.
+// catchUp asks one follower for what the store has not sent to this daemon, whose poll failed.
 func (f *Follower) catchUp() {
-	f.askFollowers()
-	if others := f.unsuspected(f.DesignatedFollowers()); len(others) > 0 {
-		f.askFor(collections, others[rand.IntN(len(others)):][:1])
+	others := f.unsuspected(f.DesignatedFollowers())
+	if len(others) == 0 {
+		return
 	}
+	d := others[rand.IntN(len(others))]
+	f.background.Go(func(ctx context.Context) {
+		_, _ = f.poll(ctx, d.Control, 0) // the store is polled again anyway
+	})
 }
