httplink: a head with a blank in a field's name is no response

What callers saw: answers with status 200, the server's signature and a line such as "X A: v" or "Content- Length: 2" in their heads; and, after "Content-Length : 2", the first two bytes of a longer body as the whole one. Cause: heads were read by fasthttp alone, which takes blanks anywhere in the name of a field. It cuts those before the colon, and what is left counts as that field: a length, a chunked encoding, a signature, an id, a load, a pause. Every reader of answers had it: requests, releases and grants of the keeper, probes, grants of dispatchers, the store. Change: httplink looks at each head, interim ones too, before fasthttp reads it. A name holds token bytes only; the head fails at the first other byte, without a wait for the rest of the line. It is read like any head that breaks off: the outcome is unknown, the connection ends, and nothing of the head has been read by then. Names of token bytes pass as before, with values that hold tabs and bytes from 0x80 on.

--- /dev/null
+++ b/internal/daemon/fenced_badhead_test.go
@@ -0,0 +1,112 @@
+package daemon_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chicorylug/chicorylug/internal/standin/fenced"
+)
+
+// rawAnswer returns a signed answer with more header fields, each with its line end, and a body.
+func rawAnswer(statusLine, id, fields, body string) string {
+	return strings.TrimSuffix(rawHead(statusLine, id), "\r\n") + fields + "\r\n" + body
+}
+
+// rawService is a cluster of one daemon and one raw server, which answers uploads with bytes of a
+// test's choice.
+type rawService struct {
+	*cluster
+	server *fenced.RawServer
+}
+
+func newRawService(t *testing.T) *rawService {
+	c := newCluster(t, 1, 1, 0)
+	return &rawService{cluster: c, server: c.startRaw(func(conn *net.TCPConn, _ string) { fenced.Reset(conn) })}
+}
+
+// answerWith returns what a caller gets for a request that the server answers with the bytes that
+// answer returns. The request must reach the server once.
+func (s *rawService) answerWith(answer func(id string) string) response {
+	s.t.Helper()
+	var sends atomic.Int64
+	s.server.SetAnswer(func(conn *net.TCPConn, id string) {
+		sends.Add(1)
+		_, _ = io.WriteString(conn, answer(id))
+	})
+	got := s.send(s.daemons[0], "POST", "/seal/x", -1, "")
+	must.Eq(s.t, 1, sends.Load(), must.Sprint(got))
+	return got
+}
+
+// mustNotPassOn fails the test unless a caller is told that the outcome of its request is unknown.
+func mustNotPassOn(t *testing.T, got response, answer string) {
+	t.Helper()
+	must.Eq(t, 502, got.status, must.Sprintf("%q: %v", answer, got))
+	must.Eq(t, "", got.signature, must.Sprintf("%q", answer))
+}
+
+// Callers got answers in whose head the name of a field held a blank, with that field passed on,
+// or with a part of the server's body, where the field had counted as the body's length.
+func TestAnswerWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK"
+	const interim = "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n"
+	s := newRawService(t)
+	for _, test := range []struct{ statusLine, fields string }{
+		{statusLine, "X A: v\r\n"},
+		{statusLine, "X-A : v\r\n"},
+		{statusLine, "X-A\t: v\r\n"},
+		{statusLine, "X-Before: v\r\n folded\r\nX A: v\r\n"},
+		{statusLine, "X A: v\r\n folded\r\n"},
+		{statusLine, "X-A : v\r\n folded\r\n"},
+		{statusLine, "Content-Length : 2\r\n"},
+		{statusLine, "Content- Length: 2\r\n"},
+		{statusLine, "Content-Length: 4\r\nX A: v\r\n"},
+		{statusLine, "Transfer-Encoding : chunked\r\n"},
+		{statusLine, fenced.HeaderSignature + " : y\r\n"},
+		{statusLine, ": v\r\n"},
+		{statusLine, "X-A\r\n"},
+		{interim + statusLine, "Content-Length: 4\r\n"},
+	} {
+		got := s.answerWith(func(id string) string { return rawAnswer(test.statusLine, id, test.fields, "body") })
+		mustNotPassOn(t, got, test.statusLine+test.fields)
+	}
+	got := s.answerWith(func(id string) string {
+		return rawAnswer(statusLine, id, "!#$%&'*+-.^_`|~09azAZ: \x80\t\xff\r\n", "body")
+	})
+	must.Eq(t, 200, got.status)
+	must.Eq(t, "body", got.body)
+}
+
+// The same for every other byte that no name may hold.
+func TestAnswerWithInvalidByteInFieldNameIsNotPassedOn(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	const ends = ":\n" // end the name or the line
+	s := newRawService(t)
+	for b := range 256 {
+		name := "X" + string([]byte{byte(b)}) + "A"
+		if strings.IndexByte(token+ends, byte(b)) >= 0 {
+			continue
+		}
+		got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 OK", id, name+": v\r\n", "body") })
+		mustNotPassOn(t, got, name)
+	}
+}
+
+// A server asked for a pause, and said that it leaves, in fields whose names ended with a blank:
+// nothing of that head counts, and the server gets the next request.
+func TestNothingIsTakenFromHeadWithInvalidFieldName(t *testing.T) {
+	s := newRawService(t)
+	for _, field := range []string{
+		"Server-Leaving : 1\r\n", "Retry-After : 30\r\n", "Chicorylug-Not-Executed : 1\r\n", "Chicorylug-Instance-Load : 50,50,50\r\n",
+	} {
+		got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 503 Busy", id, field, "busy") })
+		mustNotPassOn(t, got, field)
+		got = s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 OK", id, "", "body") })
+		must.Eq(t, 200, got.status, must.Sprint(field))
+	}
+}
--- a/internal/httplink/failure.go
+++ b/internal/httplink/failure.go
@@ -45,6 +45,8 @@
 	// ErrStatusLine is returned for bytes that do not begin a response, or one with a status
 	// that HTTP does not define or the request did not ask for.
 	ErrStatusLine = errors.New("httplink: no valid status line")
+	// ErrHead is returned for bytes in the head of a response that HTTP does not allow there.
+	ErrHead = errors.New("httplink: malformed response head")
 	// ErrInterim is returned for too many interim responses.
 	ErrInterim = errors.New("httplink: too many interim responses")
 )
--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -72,6 +72,12 @@
 // call on the connection arrives. status returns the status of the answer to a call about the
 // keys from a first one; a release hands over "state-FIRST".
 func startRepeatingPeer(t *testing.T, status func(first int) int) string {
+	return startPeer(t, func(conn net.Conn) { answerTwice(conn, status) })
+}
+
+// startPeer starts a server that serves each of its connections with a function, and returns
+// its address.
+func startPeer(t *testing.T, serve func(net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -81,7 +87,7 @@
 			if err != nil {
 				return
 			}
-			go answerTwice(conn, status)
+			go serve(conn)
 		}
 	}()
 	return listener.Addr().String()
@@ -117,6 +123,24 @@
 	}
 }
 
+// A release and a grant whose answers had a blank in the name of a field counted as accepted,
+// and the field as the one without the blank.
+func TestAnswerWithInvalidFieldNameAcceptsNothing(t *testing.T) {
+	for _, field := range []string{"X A: v", "Chicorylug-Handover : state", "Content-Length : 0"} {
+		client := newTestClient(t, startPeer(t, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n\r\n", field)
+			_ = conn.Close()
+		}))
+		result := client.release(t.Context(), time.Second, 1, 1, 7)
+		must.Error(t, result.err, must.Sprint(field))
+		must.Eq(t, "", result.state)
+		outcome, result := client.grant(t.Context(), dialect.Grant{Duration: time.Second})
+		must.Error(t, result.err)
+		must.Eq(t, dialect.GrantUnknown, outcome)
+	}
+}
+
 // newTestClient returns a client for the server at an address.
 func newTestClient(t *testing.T, address string) *httpClient {
 	server := &catalog.Server{ID: "s", Service: "drafts", Address: address}
