--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -221,10 +221,15 @@
 	}
 }
 
+// sendBufferBytes is the size of the kernel's send buffer of a server that sends without end. By
+// default it grows to some MiB, which the server can send whatever the other side reads.
+const sendBufferBytes = 64 << 10
+
 // sendEndlessly reads a request and answers with a text and then without end, until the
 // connection fails. It returns the number of bytes sent.
 func sendEndlessly(conn net.Conn, head string) int {
 	defer func() { _ = conn.Close() }()
+	_ = conn.(*net.TCPConn).SetWriteBuffer(sendBufferBytes)
 	_, _ = conn.Read(make([]byte, 4096)) // a connection may be opened and never used
 	sent, err := conn.Write([]byte(head))
 	filler := []byte(strings.Repeat("x", 4096))
