httplink: a head with a control byte in its reason phrase is no response

What callers saw: a status line with the control bytes that the server had sent in it (NUL, 01, 7f and others; CR came as a blank), which is no answer in the protocol. Cause: fasthttp checks the bytes of fields' values, but not those of the reason phrase, and writes it to the caller as it came. Change: the check of heads covers the reason phrase and values too: tab, blank, visible bytes and those from 0x80 on, and CR only before LF. Values were refused for the same bytes before, but once their line had ended. Evidence: TestAnswerWithControlByteInReasonPhraseIsNotPassedOn (whole path) got 200 for "O\rK" and passes now; phrases that are empty or hold tabs, blanks or bytes from 0x80 on pass as before.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -110,3 +111,22 @@
 		must.Eq(t, 200, got.status, must.Sprint(field))
 	}
 }
+
+// Callers got status lines with control bytes in the reason phrase, as the server had sent them.
+func TestAnswerWithControlByteInReasonPhraseIsNotPassedOn(t *testing.T) {
+	s := newRawService(t)
+	reasons := []string{"O\rK", "\x7f", "OK\r"}
+	for b := range ' ' {
+		if b != '\t' && b != '\n' {
+			reasons = append(reasons, fmt.Sprintf("O%cK", b))
+		}
+	}
+	for _, reason := range reasons {
+		got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 "+reason, id, "", "body") })
+		mustNotPassOn(t, got, reason)
+	}
+	for _, reason := range []string{"", " ", "O\tK", "\x80\xff", "Two words: 1"} {
+		got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 "+reason, id, "", "body") })
+		must.Eq(t, 200, got.status, must.Sprintf("%q", reason))
+	}
+}
--- a/internal/httplink/head.go
+++ b/internal/httplink/head.go
@@ -16,7 +16,8 @@
 
 // readHead reads the head of the final response into resp, and discards interim ones before
 // it. Each head is checked first, since fasthttp takes more than HTTP allows: status 000 as
-// 200, and a blank in the name of a field, which it cuts off before the colon.
+// 200, control bytes in a reason phrase, and blanks in the name of a field, which it cuts off
+// before the colon.
 func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterim + 1 {
 		status, err := peekStatus(r)
@@ -65,6 +66,9 @@
 	return err
 }
 
+// asciiDelete is the one control byte that is not below the blank.
+const asciiDelete = 0x7f
+
 // headPart is a part of a head.
 type headPart int
 
@@ -77,8 +81,8 @@
 	partEnd                      // after the head
 )
 
-// headScanner checks the fields of a head byte by byte. A value may go on in a line that begins
-// with a blank or tab. The bytes of values are left to fasthttp, which checks them.
+// headScanner checks a head byte by byte, from the reason phrase on. A value may go on in a line
+// that begins with a blank or tab.
 type headScanner struct {
 	part headPart // in which the next byte stands
 }
@@ -96,6 +100,9 @@
 			return true
 		}
 		return isToken[b]
+	case partValueEnd:
+		s.part = partLine
+		return b == '\n'
 	case partLastLine:
 		s.part = partEnd
 		return b == '\n'
@@ -105,8 +112,13 @@
 }
 
 func (s *headScanner) acceptInValue(b byte) bool {
-	if b == '\n' {
+	switch b {
+	case '\n':
 		s.part = partLine
+	case '\r':
+		s.part = partValueEnd
+	default:
+		return b == '\t' || b >= ' ' && b != asciiDelete
 	}
 	return true
 }
