httplink: a transfer encoding outside HTTP/1.1 is no framing

What callers saw: status 200 with the signature and a body that held the sizes of its chunks ("4\r\nbody\r\n0\r\n\r\n"), with a length that fitted it. Cause: fasthttp ignores Transfer-Encoding in each version but HTTP/1.1, so that the body had no length for it and was read to the end of the connection, or had the length stated beside. Change: a head of another version with that field has no valid framing: the outcome is unknown. Evidence: TestAnswerInChunksOfOtherVersionIsNotPassedOn (whole path) got 200 with the chunks as the body for HTTP/1.0 and passes now; answers of these versions with a length pass as before.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -130,3 +130,19 @@
 		must.Eq(t, 200, got.status, must.Sprintf("%q", reason))
 	}
 }
+
+// Callers got a body with the sizes of its chunks in it: an HTTP version other than 1.1 has no
+// chunked encoding for fasthttp, which then reads to the end of the connection.
+func TestAnswerInChunksOfOtherVersionIsNotPassedOn(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	s := newRawService(t)
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/1.9"} {
+		for _, fields := range []string{"Transfer-Encoding: chunked\r\n", "transfer-encoding: gzip\r\n", "Content-Length: 4\r\nTransfer-Encoding:\r\n chunked\r\n"} {
+			got := s.answerWith(func(id string) string { return rawAnswer(version+" 200 OK", id, fields, chunks) })
+			mustNotPassOn(t, got, version+" "+fields)
+		}
+		got := s.answerWith(func(id string) string { return rawAnswer(version+" 200 OK", id, "Content-Length: 4\r\n", "body") })
+		must.Eq(t, 200, got.status)
+		must.Eq(t, "body", got.body)
+	}
+}
--- a/internal/httplink/failure.go
+++ b/internal/httplink/failure.go
@@ -47,6 +47,8 @@
 	ErrStatusLine = errors.New("httplink: no valid status line")
 	// ErrHead is returned for bytes in the head of a response that HTTP does not allow there.
 	ErrHead = errors.New("httplink: malformed response head")
+	// ErrFraming is returned for a response whose head leaves open where its body ends.
+	ErrFraming = errors.New("httplink: response with contradictory framing")
 	// ErrInterim is returned for too many interim responses.
 	ErrInterim = errors.New("httplink: too many interim responses")
 )
--- a/internal/httplink/head.go
+++ b/internal/httplink/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -24,7 +25,11 @@
 		if err != nil {
 			return err
 		}
-		if err := peekFields(r); err != nil {
+		head, err := peekHead(r)
+		if err != nil {
+			return err
+		}
+		if err := checkFraming(head); err != nil {
 			return err
 		}
 		if status >= fasthttp.StatusOK {
@@ -37,27 +42,51 @@
 	return ErrInterim
 }
 
-// peekFields checks the rest of a head whose status line was checked up to its status code. It
-// leaves the head unread, and fails at the first byte that no head can have at its place.
-func peekFields(r *bufio.Reader) error {
+// peekHead returns a head whose status line was checked up to its status code, after a check of
+// the rest. It leaves the head unread, and fails at the first byte that no head can have at its
+// place.
+func peekHead(r *bufio.Reader) ([]byte, error) {
 	scanner := headScanner{part: partValue}
 	for length := len(statusLineForm) - 1; ; {
 		head, err := r.Peek(max(length+1, r.Buffered()))
 		if err != nil {
-			return cutShort(err)
+			return nil, cutShort(err)
 		}
 		for ; length < len(head); length++ {
 			if !scanner.accept(head[length]) {
 				quoted := head[max(0, length+1-maxQuotedBytes) : length+1]
-				return errors.Wrapf(ErrHead, "ends with %q", quoted)
+				return nil, errors.Wrapf(ErrHead, "ends with %q", quoted)
 			}
 			if scanner.part == partEnd {
-				return nil
+				return head[:length+1], nil
 			}
 		}
 	}
 }
 
+// checkFraming fails for a head that leaves open where its body ends: the body has a transfer
+// encoding in a version of HTTP for which fasthttp reads none.
+func checkFraming(head []byte) error {
+	if !hasField(head, fasthttp.HeaderTransferEncoding) {
+		return nil
+	}
+	if !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+		return errors.Wrapf(ErrFraming, "%s in %s", fasthttp.HeaderTransferEncoding, head[:len("HTTP/1.1")])
+	}
+	return nil
+}
+
+// hasField reports whether a checked head has a field of a name.
+func hasField(head []byte, name string) bool {
+	for line := range bytes.Lines(head) {
+		field, _, _ := bytes.Cut(line, []byte{':'})
+		if bytes.EqualFold(field, []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // cutShort returns the error for a head of which some bytes came before err.
 func cutShort(err error) error {
 	if errors.Is(err, io.EOF) {
