httplink: a length beside a transfer encoding is no framing

What callers saw: status 200 with the signature and the decoded chunks as the body, from a server that had stated another length for it. Cause: fasthttp drops the length when a transfer encoding is there. Which of the two the server meant is open; HTTP asks to treat such a message as an error. Change: such a head has no valid framing, as one with a transfer encoding outside HTTP/1.1: the outcome is unknown, and the connection ends. Evidence: TestAnswerWithLengthBesideChunksIsNotPassedOn (whole path) got 200 for a length of 3 beside four bytes in a chunk, and passes now; answers in chunks alone pass as before.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -146,3 +146,19 @@
 		must.Eq(t, "body", got.body)
 	}
 }
+
+// An answer with a length beside its chunks says in two ways where its body ends. Its chunks were
+// taken for the body, whatever the length was.
+func TestAnswerWithLengthBesideChunksIsNotPassedOn(t *testing.T) {
+	const chunked, chunks = "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"
+	s := newRawService(t)
+	for _, fields := range []string{
+		"Content-Length: 3\r\n" + chunked, chunked + "Content-Length: 3\r\n", chunked + "X-A: v\r\ncontent-length: 4\r\n",
+	} {
+		got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 OK", id, fields, chunks) })
+		mustNotPassOn(t, got, fields)
+	}
+	got := s.answerWith(func(id string) string { return rawAnswer("HTTP/1.1 200 OK", id, chunked, chunks) })
+	must.Eq(t, 200, got.status)
+	must.Eq(t, "body", got.body)
+}
--- a/internal/httplink/head.go
+++ b/internal/httplink/head.go
@@ -65,7 +65,7 @@
 }
 
 // checkFraming fails for a head that leaves open where its body ends: the body has a transfer
-// encoding in a version of HTTP for which fasthttp reads none.
+// encoding in a version of HTTP for which fasthttp reads none, or beside a length.
 func checkFraming(head []byte) error {
 	if !hasField(head, fasthttp.HeaderTransferEncoding) {
 		return nil
@@ -73,6 +73,9 @@
 	if !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
 		return errors.Wrapf(ErrFraming, "%s in %s", fasthttp.HeaderTransferEncoding, head[:len("HTTP/1.1")])
 	}
+	if hasField(head, fasthttp.HeaderContentLength) {
+		return errors.Wrapf(ErrFraming, "%s beside %s", fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding)
+	}
 	return nil
 }
 
