httplink: trailers are dropped

What callers saw: the fields of a trailer among those of the head, as the server had sent them: "X Last: v" with its blank, or a second signature. docs/design/requests.md says that trailers are dropped. Cause: fasthttp adds the fields of a trailer to the header of the response that reads it, and writes them into the head where the body then has a length. Change: the body is read by a response of its own, whose header nobody looks at. A trailer's fields are neither passed on nor taken for state. A blank in one of their names does not spoil the answer: the body is whole, and nothing of the trailer reaches anyone.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -162,3 +162,35 @@
 	must.Eq(t, 200, got.status)
 	must.Eq(t, "body", got.body)
 }
+
+// Callers got the fields of a trailer in the head of their answer, a second signature among them.
+func TestTrailerIsNotPassedOn(t *testing.T) {
+	const announced = "Trailer: X-Last, " + fenced.HeaderSignature + "\r\n"
+	s := newRawService(t)
+	for _, fields := range []string{"", announced} {
+		for _, trailer := range []string{"X-Last: v\r\n", "X Last: v\r\n", "X-Last : v\r\n", fenced.HeaderSignature + ": y\r\n"} {
+			chunks := "4\r\nbody\r\n0\r\n" + trailer + "\r\n"
+			s.server.SetAnswer(func(conn *net.TCPConn, id string) {
+				_, _ = io.WriteString(conn, rawAnswer("HTTP/1.1 200 OK", id, fields+"Transfer-Encoding: chunked\r\n", chunks))
+			})
+			head, body := s.receive()
+			must.Eq(t, "body", body)
+			must.StrNotContains(t, head, "Last")
+			must.Eq(t, 1, strings.Count(head, fenced.HeaderSignature), must.Sprint(head))
+		}
+	}
+}
+
+// receive sends a request and returns the bytes of the answer's head and body.
+func (s *rawService) receive() (head, body string) {
+	conn, err := net.Dial("tcp", s.daemons[0].Config().CallerAddress)
+	must.NoError(s.t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /seal/x HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n%s: trailer\r\n%s: 2000\r\nContent-Length: 0\r\n\r\n",
+		host, fenced.HeaderAttemptID, fenced.HeaderDeadline)
+	must.NoError(s.t, err)
+	answer, err := io.ReadAll(conn)
+	must.NoError(s.t, err)
+	head, body, _ = strings.Cut(string(answer), "\r\n\r\n")
+	return head, body
+}
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -20,6 +20,7 @@
 	pool          *Pool
 	conn          *conn
 	resp          *fasthttp.Response
+	framed        *fasthttp.Response // reads a body with a length or in chunks; nil before the first Read
 	ctx           context.Context
 	stopAfterFunc func() bool // cancels closing conn at the end of ctx
 	length        int64       // length of the response body in bytes, or chunked or unframed
@@ -121,12 +122,10 @@
 // readHeader reads the response header. It fails for an unframed body, unless the pool
 // accepts those.
 func (e *Exchange) readHeader(req *fasthttp.Request) *Failure {
-	e.resp.StreamBody = true
-	e.resp.SkipBody = req.Header.IsHead()
 	if err := readHead(e.conn.reader, e.resp); err != nil {
 		return e.failure(StageRead, true, err)
 	}
-	e.length = bodyLength(e.resp)
+	e.length = bodyLength(req, e.resp)
 	e.remaining = e.length
 	if e.length == unframed && !e.pool.unframed {
 		return e.failure(StageRead, true, ErrUnframed)
@@ -157,11 +156,13 @@
 )
 
 // bodyLength returns the length of the response body in bytes, or chunked or unframed.
-func bodyLength(resp *fasthttp.Response) int64 {
-	if resp.BodyStream() == nil {
+func bodyLength(req *fasthttp.Request, resp *fasthttp.Response) int64 {
+	switch status := resp.StatusCode(); {
+	case req.Header.IsHead(), status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
 		return 0
+	default:
+		return int64(resp.Header.ContentLength())
 	}
-	return int64(resp.Header.ContentLength())
 }
 
 // First reports whether the exchange is the first one on its connection: no second answer to
@@ -199,7 +200,21 @@
 	if e.length == unframed {
 		return e.conn.reader
 	}
-	return e.resp.BodyStream()
+	if e.framed == nil {
+		e.framed = e.openFramed()
+	}
+	return e.framed.BodyStream()
+}
+
+// openFramed returns a response that reads the body and has none of the head. fasthttp adds
+// the fields of a trailer to the header of the response that reads them: there, nobody takes them
+// for fields of the head.
+func (e *Exchange) openFramed() *fasthttp.Response {
+	framed := fasthttp.AcquireResponse()
+	framed.StreamBody = true
+	framed.Header.SetContentLength(int(e.length))
+	_ = framed.ReadBody(e.conn.reader, 0) // reads nothing yet
+	return framed
 }
 
 // bodyError returns the error of Read for an error of the body's reader.
@@ -242,7 +257,9 @@
 func (e *Exchange) close() {
 	notCancelled := e.stopAfterFunc()
 	keep := notCancelled && e.Complete() && e.length != unframed && !e.notReusable && !e.resp.ConnectionClose()
-	_ = e.resp.CloseBodyStream()
+	if e.framed != nil {
+		fasthttp.ReleaseResponse(e.framed)
+	}
 	if keep && e.conn.reader.Buffered() == 0 {
 		e.pool.release(e.conn)
 		return
--- a/internal/httplink/head.go
+++ b/internal/httplink/head.go
@@ -32,10 +32,7 @@
 		if err := checkFraming(head); err != nil {
 			return err
 		}
-		if status >= fasthttp.StatusOK {
-			return resp.ReadLimitBody(r, 0)
-		}
-		if err := resp.Header.Read(r); err != nil {
+		if err := resp.Header.Read(r); err != nil || status >= fasthttp.StatusOK {
 			return err
 		}
 	}
--- a/internal/httplink/head_test.go
+++ b/internal/httplink/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -76,3 +77,17 @@
 	must.NotNil(t, failure)
 	must.ErrorIs(t, failure, ErrHead)
 }
+
+// The fields of a trailer came to stand among those of the head once the body had been read.
+func TestTrailerIsDropped(t *testing.T) {
+	sent := strings.Replace(chunkedResponse, "0\r\n\r\n", "0\r\nX-Last: v\r\nX Last: v\r\n\r\n", 1)
+	response := &fasthttp.Response{}
+	exchange, failure := exchangeWith(t, sent, response)
+	must.Nil(t, failure)
+	body, err := io.ReadAll(exchange)
+	must.NoError(t, err)
+	must.Eq(t, "hello", string(body))
+	must.True(t, exchange.Complete())
+	response.SetBodyRaw(body)
+	must.StrNotContains(t, response.String(), "Last")
+}
