--- a/internal/httplink/fuzz_test.go
+++ b/internal/httplink/fuzz_test.go
@@ -12,9 +12,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-// FuzzResponse sends arbitrary bytes as a response and closes the connection. The
-// exchange must end, its status must be one that was sent and that HTTP has, and a body that it reports as complete must not be longer than the
-// bytes that were sent, nor differ from the length that the response states.
+// FuzzResponse sends arbitrary bytes as a response and closes the connection. The exchange must
+// end. Its head must follow the grammar, its status must be one that was sent and that HTTP has,
+// and a body that it reports as complete must not be longer than the bytes that were sent, nor
+// differ from the length that the response states.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []string{
 		fixedResponse,
@@ -26,6 +27,9 @@
 		"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
 		"HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX A: v\r\nContent-Length : 2\r\n\r\nhello",
+		"HTTP/1.1 200 O\rK\r\n\r\nhello",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX A: v\r\n\r\n",
 		"\x00\x01\x02",
 	} {
 		f.Add([]byte(seed))
@@ -43,6 +47,7 @@
 			return
 		}
 		defer exchange.Close()
+		must.True(t, headsForm.Match(sent))
 		must.Between(t, 200, response.StatusCode(), 599)
 		must.StrContains(t, string(sent), strconv.Itoa(response.StatusCode()))
 		body, err := io.ReadAll(io.LimitReader(exchange, int64(len(sent))+1))
