--- a/internal/httplink/head.go
+++ b/internal/httplink/head.go
@@ -52,7 +52,7 @@
 		for ; length < len(head); length++ {
 			if !scanner.accept(head[length]) {
 				quoted := head[max(0, length+1-maxQuotedBytes) : length+1]
-				return nil, errors.Wrapf(ErrHead, "ends with %q", quoted)
+				return nil, errors.Wrapf(ErrHead, "%q", quoted)
 			}
 			if scanner.part == partEnd {
 				return head[:length+1], nil
