--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -51,7 +51,7 @@
 	must.Eq(t, "", got.signature, must.Sprintf("%q", answer))
 }
 
-// Callers got answers in whose head the name of a field held a blank, with that field passed on,
+// Callers got answers in whose head the name of a field held a space, with that field passed on,
 // or with a part of the server's body, where the field had counted as the body's length.
 func TestAnswerWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
 	const statusLine = "HTTP/1.1 200 OK"
@@ -98,7 +98,7 @@
 	}
 }
 
-// A server asked for a pause, and said that it leaves, in fields whose names ended with a blank:
+// A server asked for a pause, and said that it leaves, in fields whose names ended with a space:
 // nothing of that head counts, and the server gets the next request.
 func TestNothingIsTakenFromHeadWithInvalidFieldName(t *testing.T) {
 	s := newRawService(t)
--- a/internal/httplink/head_test.go
+++ b/internal/httplink/head_test.go
@@ -29,8 +29,8 @@
 	return exchange, failure
 }
 
-// A field whose name held a blank passed: it was passed on, or counted as the field before the
-// blank.
+// A field whose name held a space passed: it was passed on, or counted as the field before the
+// space.
 func TestFieldNameHoldsTokenBytesOnly(t *testing.T) {
 	places := map[string]string{ // of the byte in a line
 		"first": "%sX: v\r\n",
--- a/internal/httplink/statusline.go
+++ b/internal/httplink/statusline.go
@@ -27,7 +27,7 @@
 	for i := range len(statusLineForm) {
 		line, err := r.Peek(i + 1)
 		if err != nil && i > 0 {
-			return 0, cutShort(err)
+			return 0, incomplete(err)
 		}
 		if err != nil {
 			return 0, err
--- a/internal/keeper/serverclient_test.go
+++ b/internal/keeper/serverclient_test.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// A release and a grant whose answers had a blank in the name of a field counted as accepted,
-// and the field as the one without the blank.
+// A release and a grant whose answers had a space in the name of a field counted as accepted,
+// and the field as the one without the space.
 func TestAnswerWithInvalidFieldNameAcceptsNothing(t *testing.T) {
 	for _, field := range []string{"X A: v", "Chicorylug-Handover : state", "Content-Length : 0"} {
 		client := newTestClient(t, startPeer(t, func(conn net.Conn) {
