httplink: a read after the end of its exchange fails

Cause: since trailers are dropped, a body is read by a response from fasthttp's pool, which Close gives back while the exchange still has it. Change: Read returns ErrClosed then. Evidence: TestReadAfterCloseReturnsNoBodyOfAnotherExchange panicked before and passes now.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -18,8 +18,8 @@
 	return strings.TrimSuffix(rawHead(statusLine, id), "\r\n") + fields + "\r\n" + body
 }
 
-// rawService is a cluster of one daemon and one raw server, which answers uploads with bytes of a
-// test's choice.
+// rawService is a cluster of one daemon and one raw server, which answers requests with bytes of
+// a test's choice.
 type rawService struct {
 	*cluster
 	server *fenced.RawServer
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -28,6 +28,7 @@
 	bodyEnded     bool        // the body was read to its end
 	notReusable   bool        // the connection cannot be reused: the request was not sent completely, or DoNotReuse was called
 	first         bool        // the connection carried no earlier exchange
+	closed        bool        // the reader of the body may serve another exchange
 	once          sync.Once
 }
 
@@ -184,6 +185,9 @@
 		e.bodyEnded = true
 		return 0, io.EOF
 	}
+	if e.closed {
+		return 0, ErrClosed
+	}
 	count, err := e.body().Read(p)
 	if e.remaining > 0 {
 		e.remaining -= int64(count)
@@ -257,6 +261,7 @@
 func (e *Exchange) close() {
 	notCancelled := e.stopAfterFunc()
 	keep := notCancelled && e.Complete() && e.length != unframed && !e.notReusable && !e.resp.ConnectionClose()
+	e.closed = true
 	if e.framed != nil {
 		fasthttp.ReleaseResponse(e.framed)
 	}
--- a/internal/httplink/exchange_test.go
+++ b/internal/httplink/exchange_test.go
@@ -271,3 +271,30 @@
 	}
 	must.Eq(t, 0, pool.Open())
 }
+
+// The reader of a body that is closed early goes to another exchange. A later Read panicked, and could
+// have returned a part of that one's body.
+func TestReadAfterCloseReturnsNoBodyOfAnotherExchange(t *testing.T) {
+	address := startPeer(t, func(_ int, conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = conn.Write([]byte(fixedResponse))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	pool := NewPool(address, 2, dialTCP)
+	begin := func() *Exchange {
+		exchange, failure := pool.Do(context.Background(), newGetRequest(), &fasthttp.Response{})
+		must.Nil(t, failure)
+		_, err := exchange.Read(make([]byte, 1))
+		must.NoError(t, err)
+		return exchange
+	}
+	for range 100 { // the pool of readers keeps no order
+		closed := begin()
+		must.NoError(t, closed.Close())
+		open := begin()
+		count, err := closed.Read(make([]byte, 1))
+		must.Zero(t, count)
+		must.ErrorIs(t, err, ErrClosed)
+		must.NoError(t, open.Close())
+	}
+}
--- a/internal/httplink/failure.go
+++ b/internal/httplink/failure.go
@@ -49,6 +49,8 @@
 	ErrHead = errors.New("httplink: malformed response head")
 	// ErrFraming is returned for a response whose head leaves open where its body ends.
 	ErrFraming = errors.New("httplink: response with contradictory framing")
+	// ErrClosed is returned for a read of a response body after its exchange was closed.
+	ErrClosed = errors.New("httplink: exchange is closed")
 	// ErrInterim is returned for too many interim responses.
 	ErrInterim = errors.New("httplink: too many interim responses")
 )
