daemon: the raw server of TestTrailerIsNotPassedOn says that it ends its connection

The raw server ends its connection after each answer, and the answers of this test are whole, with no sign of that end: a daemon that sends the next request before it sees the end gets a reset, and tells its caller rightly that the outcome is unknown. Change: the head says Connection: close. What the test checks stays as it was. Other raw answers that callers get have no length or come last.

--- a/internal/daemon/fenced_badhead_test.go
+++ b/internal/daemon/fenced_badhead_test.go
@@ -171,7 +171,7 @@
 		for _, trailer := range []string{"X-Last: v\r\n", "X Last: v\r\n", "X-Last : v\r\n", fenced.HeaderSignature + ": y\r\n"} {
 			chunks := "4\r\nbody\r\n0\r\n" + trailer + "\r\n"
 			s.server.SetAnswer(func(conn *net.TCPConn, id string) {
-				_, _ = io.WriteString(conn, rawAnswer("HTTP/1.1 200 OK", id, fields+"Transfer-Encoding: chunked\r\n", chunks))
+				_, _ = io.WriteString(conn, rawAnswer("HTTP/1.1 200 OK", id, fields+"Connection: close\r\nTransfer-Encoding: chunked\r\n", chunks))
 			})
 			head, body := s.receive()
 			must.Eq(t, "body", body)
