scenarios: "daemon pause" waits until the daemon stands still

Its output held a step of d3, which only d3 itself can give: d3 answered after it had been paused.

Cause: the command returned as soon as the signal was sent. SIGSTOP takes effect once one thread has received it; until then, the other threads go on. If the thread that the kernel chose waits for a processor, they can answer a query meanwhile.

Change: the command waits until the process has stopped (waitid with WSTOPPED, which the kernel reports after the last thread). Nothing that the scripts check changes; they start from a daemon that is paused.

--- a/scenarios/cmd_fleet_test.go
+++ b/scenarios/cmd_fleet_test.go
@@ -177,7 +177,7 @@
 
 // cmdDaemon controls a daemon or its connections:
 //
-//	daemon start|stop|kill|pause|resume NAME   stop is graceful and must end with exit code 0
+//	daemon start|stop|kill|pause|resume NAME   stop is graceful and must end with exit code 0; all but start and resume wait until it is done
 //	daemon ready NAME                waits until it is ready
 //	daemon add                       starts one more daemon, in the zone of the first
 //	daemon cut NAME PEER...          blocks the traffic with each PEER, and only with these: a daemon, a server, "platform" or "all" (all daemons and the platform)
@@ -213,7 +213,7 @@
 		d.signal(syscall.SIGKILL)
 		<-d.done
 	case "pause":
-		d.signal(syscall.SIGSTOP)
+		ts.Check(d.pause())
 	case "resume":
 		d.signal(syscall.SIGCONT)
 	case "cut":
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -12,8 +12,10 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/chicorylug/chicorylug/internal/config"
 	"github.com/chicorylug/chicorylug/internal/model"
@@ -180,6 +182,18 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// pause stops a process and waits until all its threads stand still: until then, the
+// others go on and may answer, as the signal takes effect in one thread first.
+func (p *process) pause() error {
+	p.signal(syscall.SIGSTOP)
+	for {
+		err := unix.Waitid(unix.P_PID, p.cmd.Process.Pid, nil, unix.WSTOPPED|unix.WEXITED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return errors.Wrapf(err, "wait until %s is paused", p.name)
+		}
+	}
+}
+
 func (p *process) running() bool {
 	select {
 	case <-p.done:
