connlimit: an idle connection is closed before one whose request is on its way

Cause: a new connection that finds no memory takes the place of the one that is needed least, and the first choice was any connection that waited for a request's head, however new. So the callers that came together put each other out, as did callers that were about to use their kept connection, while a thousand idle ones stayed. Trace of a failed run: closed a connection without a head, 15.7 ms old; open were 1,227 idle ones, 31 with requests, of 1,422 allowed.

Change: only a connection that has waited for its head for over headTime (1 s) goes before the idle ones; a younger one goes after them. Who opens connections and sends nothing still goes first after that time. The price: a crowd that opens as many connections as are allowed within one second now costs others their idle connections, on which nothing is awaited, where it cost them their new ones.

Tests: TestConnectionThatIsNeededLeastIsClosed had the old order, which is the fault; it holds four places in the new order now, instead of three. TestConnectionWhoseNextHeadBeginsIsNotFirst is new. Both fail before.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -139,6 +139,22 @@
 	}
 }
 
+// need returns how much the connection is needed. It must be called with limiter.mu held.
+func (c *Conn) need(now time.Time) need {
+	switch {
+	case c.state == headless && now.Sub(c.since) > headTime:
+		return slowHead
+	case c.state == idle:
+		return unused
+	case c.state == headless:
+		return newHead
+	case c.memory.Stalled(now):
+		return stalled
+	default:
+		return progresses
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.limiter.remove(c)
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,8 +1,9 @@
 // Package connlimit bounds the connections of callers. When there are as many as the
 // process may have, or no memory for another one, it closes the one that is needed least:
-// first those whose request's head has not come, then the idle ones, then those whose
-// callers make no progress with a body or an answer, the oldest first. If each has a
-// request in progress, the new connection is closed.
+// first those whose request's head takes long, then the idle ones, then those whose
+// request's head is still on its way, then those whose callers make no progress with a body
+// or an answer, the oldest first. If each has a request in progress, the new connection is
+// closed.
 package connlimit
 
 import (
@@ -20,16 +21,33 @@
 // an answer's, a goroutine's stack and the request's state.
 const ConnectionBytes = 36 << 10
 
+// headTime is the time from the begin of a connection or of a head in which a caller on a
+// good link has sent the whole head.
+const headTime = time.Second
+
 // state is what a connection is used for.
 type state int
 
-// States, in the order in which connections are closed when there are too many.
+// States of a connection.
 const (
 	headless state = iota // the head of a request is awaited
 	idle                  // the last request has been answered
 	busy                  // a request is in progress
 )
 
+// need says how much a connection is needed. Those that are needed least are closed first
+// when there are too many.
+type need int
+
+// Needs in ascending order. A connection with a request that gets on is not closed.
+const (
+	slowHead   need = iota // headless for longer than headTime
+	unused                 // idle
+	newHead                // headless: a request may be on its way
+	stalled                // busy, and the caller makes no progress
+	progresses             // busy
+)
+
 // Closed counts the connections that were closed because there were too many.
 type Closed struct {
 	Headless, Idle, Stalled, New atomic.Int64
@@ -112,13 +130,13 @@
 // CloseOne closes the connection that is needed least. It reports false if each has a
 // request in progress that gets on.
 func (l *Limiter) CloseOne() bool {
-	return l.closeOne(busy) != nil
+	return l.closeOne(stalled) != nil
 }
 
 // replaceOne closes the connection that is needed least and gives its memory to a new one. It
 // reports false if the new one has no memory.
 func (l *Limiter) replaceOne(c *Conn, now time.Time) bool {
-	victim := l.removeCounted(busy)
+	victim := l.removeCounted(stalled)
 	if victim == nil {
 		return false
 	}
@@ -131,15 +149,15 @@
 // a body may take so many bytes and as connections take room from bodies.
 func (l *Limiter) MakeRoomForBody(bytes int64) {
 	for l.budget.ConnectionsInTheWay(bytes) > 0 {
-		if l.closeOne(idle) == nil {
+		if l.closeOne(newHead) == nil {
 			return
 		}
 	}
 }
 
-// closeOne closes and returns the connection that is needed least, or nil if the state of each
-// is above the given one.
-func (l *Limiter) closeOne(most state) *Conn {
+// closeOne closes and returns the connection that is needed least, or nil if each is needed
+// more than the given need says.
+func (l *Limiter) closeOne(most need) *Conn {
 	victim := l.removeCounted(most)
 	if victim == nil {
 		return nil
@@ -151,7 +169,7 @@
 }
 
 // removeCounted is removeOne that counts the connection as closed.
-func (l *Limiter) removeCounted(most state) *Conn {
+func (l *Limiter) removeCounted(most need) *Conn {
 	victim, was := l.removeOne(most, time.Now())
 	if victim == nil {
 		return nil
@@ -167,18 +185,17 @@
 	return victim
 }
 
-// removeOne removes the connection that is needed least from those that are open and in a
-// state of at most the given one.
-func (l *Limiter) removeOne(most state, now time.Time) (*Conn, state) {
+// removeOne removes the connection that is needed least from those that are open and needed
+// no more than the given need says. It also returns the state of that connection.
+func (l *Limiter) removeOne(most need, now time.Time) (*Conn, state) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found *Conn
+	least := most
 	for c := range l.conns {
-		if c.state > most || (c.state == busy && !c.memory.Stalled(now)) {
-			continue
-		}
-		if found == nil || c.state < found.state || (c.state == found.state && c.since.Before(found.since)) {
-			found = c
+		n := c.need(now)
+		if n < least || (n == least && (found == nil || c.since.Before(found.since))) {
+			found, least = c, n
 		}
 	}
 	if found == nil {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"github.com/chicorylug/chicorylug/internal/bytebudget"
 )
@@ -23,16 +24,20 @@
 	return err != nil && err.Error() != "read pipe: i/o timeout"
 }
 
-// Guards against a crowd that keeps callers with requests out: who has no head goes first,
-// then who is idle, then who makes no progress; requests that get on stay.
+// Guards against a crowd that keeps callers with requests out, and against callers that lose
+// their new connection, with their request on its way, while others are idle: who sends no
+// head goes first, then who is idle, then who may be about to send one, then who makes no
+// progress; requests that get on stay.
 func TestConnectionThatIsNeededLeastIsClosed(t *testing.T) {
-	l := New(4, bytebudget.New(1<<20))
-	idleConn, headlessConn, stalled, served := opened(t, l), opened(t, l), opened(t, l), opened(t, l)
+	l := New(5, bytebudget.New(1<<20))
+	idleConn, fresh, headlessConn := opened(t, l), opened(t, l), opened(t, l)
+	stalledConn, served := opened(t, l), opened(t, l)
 	idleConn.delivered()
-	must.True(t, stalled.BeginRequest())
+	headlessConn.since = time.Now().Add(-2 * headTime)
+	must.True(t, stalledConn.BeginRequest())
 	must.True(t, served.BeginRequest())
-	stalled.memory.Enter(bytebudget.Receiving, time.Now().Add(-time.Minute))
-	for _, closes := range []*Conn{headlessConn, idleConn, stalled} {
+	stalledConn.memory.Enter(bytebudget.Receiving, time.Now().Add(-time.Minute))
+	for _, closes := range []*Conn{headlessConn, idleConn, fresh, stalledConn} {
 		must.False(t, isClosed(closes))
 		next := opened(t, l)
 		must.NotNil(t, next)
@@ -42,7 +47,20 @@
 	}
 	must.Nil(t, opened(t, l))
 	must.False(t, isClosed(served))
-	must.Eq(t, 4, l.Open())
+	must.Eq(t, 5, l.Open())
+}
+
+// Guards against a request that meets the close of its connection although the connection
+// was idle before, and others still are.
+func TestConnectionWhoseNextHeadBeginsIsNotFirst(t *testing.T) {
+	l := New(2, bytebudget.New(1<<20))
+	begins, idleConn := opened(t, l), opened(t, l)
+	begins.delivered()
+	idleConn.delivered()
+	l.Track(begins, fasthttp.StateActive)
+	must.NotNil(t, opened(t, l))
+	must.True(t, isClosed(idleConn))
+	must.False(t, isClosed(begins))
 }
 
 // Guards against connections that are bounded by descriptors alone.
