serverspeed, backends: an unused field goes, and names say what they are

Estimate.Shared was never set nor read. The baseline of the tests of speeds is named so instead of by its age. connlimit: clearer names from a second reading. No behaviour changes; tests of connlimit (also with the race detector) and serverspeed pass.

--- a/internal/backends/speedlogic_test.go
+++ b/internal/backends/speedlogic_test.go
@@ -17,7 +17,7 @@
 	"github.com/chicorylug/chicorylug/internal/model"
 )
 
-// ownAverages is the earlier logic: a moving average of each server's service times.
+// ownAverages is the baseline: a moving average of each server's service times.
 type ownAverages struct {
 	states  map[model.ServerID]*averageState
 	average time.Duration
@@ -85,8 +85,8 @@
 	s.serviceTime += time.Duration(0.2 * float64(run.took-s.serviceTime))
 }
 
-// averageCandidate and chooseByAverage are the earlier choice: the least expected time of
-// three servers drawn by throughput.
+// averageCandidate and chooseByAverage are the choice of the baseline: the least expected
+// time of three servers drawn by throughput.
 type averageCandidate struct {
 	server       *catalog.Server
 	ejected      bool
@@ -131,7 +131,7 @@
 	return best
 }
 
-// estimates is the present logic.
+// estimates is the logic of Backends.
 type estimates struct {
 	b *Backends
 }
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -151,7 +151,7 @@
 	case c.memory.Stalled(now):
 		return stalled
 	default:
-		return progresses
+		return inProgress
 	}
 }
 
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -21,8 +21,8 @@
 // an answer's, a goroutine's stack and the request's state.
 const ConnectionBytes = 36 << 10
 
-// headTime is the time from the begin of a connection or of a head in which a caller on a
-// good link has sent the whole head.
+// headTime is how long a caller may take to send the head of a request before its connection
+// goes before idle ones.
 const headTime = time.Second
 
 // state is what a connection is used for.
@@ -45,7 +45,7 @@
 	unused                 // idle
 	newHead                // headless: a request may be on its way
 	stalled                // busy, and the caller makes no progress
-	progresses             // busy
+	inProgress             // busy
 )
 
 // Closed counts the connections that were closed because there were too many.
--- a/internal/serverspeed/server.go
+++ b/internal/serverspeed/server.go
@@ -205,12 +205,10 @@
 
 // Estimate is how long work takes at a server, relative to its service.
 type Estimate struct {
-	Lasting float64 // factor of the server itself
-	Moment  float64 // factor of its machine and its load at the moment
-	Samples float64 // weight of the samples behind Lasting
-	// Shared is the share of these that other daemons know too, which so judge alike.
-	Shared float64
-	Age    time.Duration // since the last sample, or the last figure of other daemons
+	Lasting float64       // factor of the server itself
+	Moment  float64       // factor of its machine and its load at the moment
+	Samples float64       // weight of the samples behind Lasting
+	Age     time.Duration // since the last sample, or the last figure of other daemons
 }
 
 // Factor returns how long work takes now, relative to a usual server at usual times.
