--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -19,7 +19,7 @@
 		"chicorylugd": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"chicorylug":  func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin":     func() { os.Exit(host.Main(os.Args[1:], os.Stderr)) },
-		"idle":        func() { time.Sleep(time.Minute) },
+		"dormant":     func() { time.Sleep(time.Minute) },
 	})
 }
 
--- a/scenarios/pause_test.go
+++ b/scenarios/pause_test.go
@@ -17,7 +17,7 @@
 func TestPausedProcessStandsStill(t *testing.T) {
 	const rounds = 50
 	for range rounds {
-		p := startIdle(t)
+		p := startDormant(t)
 		must.NoError(t, p.pause())
 		for _, file := range threadFiles(t, p) {
 			must.EqOp(t, "T", threadState(t, file))
@@ -27,11 +27,11 @@
 	}
 }
 
-// startIdle starts a process with some threads, of which none does anything.
-func startIdle(t *testing.T) *process {
+// startDormant starts a process with some threads, of which none does anything.
+func startDormant(t *testing.T) *process {
 	sc := &scenario{searchPath: os.Getenv("PATH")}
-	p := &process{name: "idle", logFile: filepath.Join(t.TempDir(), "idle.log")}
-	must.NoError(t, sc.start(p, "idle"))
+	p := &process{name: "dormant", logFile: filepath.Join(t.TempDir(), "dormant.log")}
+	must.NoError(t, sc.start(p, "dormant"))
 	t.Cleanup(func() { p.signal(syscall.SIGKILL) })
 	for len(threadFiles(t, p)) < 3 {
 		time.Sleep(time.Millisecond)
