follow: the bound of the test of calls after a return holds as stated

In floating point that is a little less, so a play with just as many calls as allowed failed.

Change: the comparison allows for the rounding, a millionth of a call. The bound is as strict as before: calls are whole numbers, and 127 fail. The code is as it was.

--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -402,6 +402,7 @@
 // Calls that the store turns away are made once more.
 func (h restoreHistory) check(t *testing.T, after []int, quiet float64) {
 	const busySeconds, slack = 5, 1.2
+	const rounding = 1e-6 // calls
 	repeated := 1 / (1 - h.refusedShare)
 	for i := 0; i+busySeconds <= len(after); i++ {
 		calls := 0
@@ -412,6 +413,6 @@
 		if i >= busySeconds && h.refusedShare == 0 {
 			allowed = slack * quiet * busySeconds
 		}
-		must.LessEq(t, allowed, float64(calls), must.Sprintf("from second %d on; on a quiet day %.1f a second, after the return %v", i, quiet, after))
+		must.LessEq(t, allowed+rounding, float64(calls), must.Sprintf("from second %d on; on a quiet day %.1f a second, after the return %v", i, quiet, after))
 	}
 }
